--- /dev/null
+++ b/internal/bookkeeping/client.go
@@ -0,0 +1,190 @@
+package bookkeeping
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"oakpick/internal/protocol"
+)
+
+// Outcome is how a call to another component ended.
+type Outcome uint8
+
+// Outcomes. NotSent and Refused prove that nothing was executed; after Lost it
+// may have been, or may yet be.
+const (
+	OK Outcome = iota
+	Conflict
+	NotFound
+	Invalid
+	Refused
+	NotSent
+	Lost
+)
+
+// StateOp is a request to the state service.
+type StateOp uint8
+
+// Requests to the state service.
+const (
+	StateGet StateOp = iota
+	StateList
+	StateTxn
+	StateGrant
+	StateRenew
+)
+
+// StateCall asks the state service.
+type StateCall struct {
+	ID    uint64
+	Op    StateOp
+	Key   string // of a read; a prefix for a list
+	After string // of a list
+	Lease int64  // of a renewal
+	TTL   time.Duration
+	Txn   protocol.Txn
+}
+
+// StateResult answers a StateCall.
+type StateResult struct {
+	ID      uint64
+	Outcome Outcome
+	Number  int64 // a lease, or the revision of a transaction
+	Entry   protocol.Entry
+	List    protocol.EntryList
+}
+
+// Client speaks to the state service. Renewals have connections of their own,
+// so that they never wait behind other requests.
+type Client struct {
+	calls, renewals *fasthttp.HostClient
+	wait, renewWait time.Duration
+}
+
+// DialError marks a connection that was never made: nothing was sent on it.
+type DialError struct{ Err error }
+
+func (e *DialError) Error() string { return "dial: " + e.Err.Error() }
+func (e *DialError) Unwrap() error { return e.Err }
+
+// Dial connects within a time, and marks failures as such.
+func Dial(wait time.Duration) fasthttp.DialFunc {
+	return func(addr string) (net.Conn, error) {
+		c, err := net.DialTimeout("tcp4", addr, wait)
+		if err != nil {
+			return nil, &DialError{err}
+		}
+		return c, nil
+	}
+}
+
+// NoRetry keeps the HTTP library from sending anything twice by itself: every
+// repeat is a decision of coordination, which has to know of it.
+func NoRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+
+// NewClient makes a client. Calls are given up after wait, renewals after renewWait.
+func NewClient(addr string, wait, renewWait time.Duration) *Client {
+	host := func(conns int, dial time.Duration) *fasthttp.HostClient {
+		return &fasthttp.HostClient{
+			Addr: addr, Dial: Dial(dial), MaxConns: conns, MaxIdemponentCallAttempts: 1, RetryIfErr: NoRetry,
+			MaxResponseBodySize: 1 << 20, NoDefaultUserAgentHeader: true, MaxConnWaitTimeout: dial,
+			MaxIdleConnDuration: 10 * wait,
+		}
+	}
+	return &Client{calls: host(6, wait/2), renewals: host(4, renewWait/2), wait: wait, renewWait: renewWait}
+}
+
+// Do makes a call and waits for its outcome.
+func (c *Client) Do(call StateCall) StateResult {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	client, wait := c.calls, c.wait
+	uri := "http://" + client.Addr
+	switch call.Op {
+	case StateGet:
+		uri += protocol.PathKV + "/" + call.Key
+	case StateList:
+		args := fasthttp.AcquireArgs()
+		args.Set("starts", call.Key)
+		if call.After != "" {
+			args.Set("after", call.After)
+		}
+		args.Set("limit", "200")
+		uri += protocol.PathKV + "?" + args.String()
+		fasthttp.ReleaseArgs(args)
+	case StateTxn:
+		uri += protocol.PathTxn
+		req.SetBody(protocol.Encode(call.Txn))
+	case StateGrant:
+		uri += protocol.PathGrants
+		req.SetBody(protocol.Encode(protocol.GrantRequest{TTLms: call.TTL.Milliseconds()}))
+	case StateRenew:
+		uri += protocol.RenewPath(call.Lease)
+		client, wait = c.renewals, c.renewWait
+	}
+	if call.Op != StateGet && call.Op != StateList {
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.Header.SetContentType(protocol.ContentType)
+	}
+	req.SetRequestURI(uri)
+	r := StateResult{ID: call.ID}
+	if err := client.DoTimeout(req, res, wait); err != nil {
+		r.Outcome = Failure(err)
+		return r
+	}
+	r.Outcome = outcome(res.StatusCode())
+	if r.Outcome == OK {
+		r.read(call.Op, res.Body())
+	}
+	return r
+}
+
+func (r *StateResult) read(op StateOp, body []byte) {
+	var err error
+	switch op {
+	case StateGet:
+		err = protocol.Decode(body, &r.Entry)
+	case StateList:
+		err = protocol.Decode(body, &r.List)
+	case StateTxn:
+		var a protocol.TxnAnswer
+		err = protocol.Decode(body, &a)
+		r.Number = a.Revision
+	case StateGrant:
+		var g protocol.Grant
+		err = protocol.Decode(body, &g)
+		r.Number = g.Lease
+	}
+	if err != nil {
+		r.Outcome = Lost // an answer that can't be read tells nothing
+	}
+}
+
+// Failure tells whether a call that brought no answer was sent at all.
+func Failure(err error) Outcome {
+	var dial *DialError
+	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return NotSent
+	}
+	return Lost
+}
+
+func outcome(status int) Outcome {
+	switch status {
+	case fasthttp.StatusOK:
+		return OK
+	case fasthttp.StatusConflict:
+		return Conflict
+	case fasthttp.StatusNotFound:
+		return NotFound
+	case fasthttp.StatusBadRequest:
+		return Invalid
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return Refused
+	}
+	return Lost
+}
--- /dev/null
+++ b/internal/coordination/fleet.go
@@ -0,0 +1,508 @@
+package coordination
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"oakpick/internal/bookkeeping"
+	"oakpick/internal/config"
+	"oakpick/internal/protocol"
+)
+
+// Options are the figures that operators may change while it runs.
+type Options struct {
+	WriteShare  float64 // of the state service's write rate
+	Sample      int     // machines looked at for a task
+	IdleS       float64 // how long an empty machine is kept
+	WarmZ       float64 // room kept free: so many deviations of what arrives while a machine boots
+	PreemptMost float64 // most work that a preemption may cost, in seconds
+	GiveUpBoots float64 // boot times after which a machine is given up
+}
+
+// DefaultOptions derives them from the settings.
+func DefaultOptions(cfg *config.Config) Options {
+	return Options{
+		WriteShare: 0.5, Sample: 5, IdleS: 2 * cfg.Settings.Workers.Lease, WarmZ: 1,
+		PreemptMost: 600, GiveUpBoots: 4,
+	}
+}
+
+// fleet is what is rented, and the dealings with the cloud.
+type fleet struct {
+	types    []protocol.MachineType
+	typesAt  time.Duration
+	rentals  []*rental
+	unplaced []wait
+	refused  map[offer]time.Duration // until when the cloud has none
+	budget   *rate.Limiter
+	calls    map[uint64]cloudCall
+	listAt   time.Duration
+	listing  bool
+	lists    int // whole lists read
+	seen     map[string]bool
+	planAt   time.Duration
+	back     time.Duration // no calls before, after trouble
+	counter  int
+}
+
+type offer struct {
+	kind, zone string
+	spot       bool
+}
+
+type cloudCall struct {
+	op     CloudOp
+	rental *rental
+	hosts  []string
+}
+
+func (f *fleet) kind(name string) *protocol.MachineType {
+	for i := range f.types {
+		if f.types[i].Name == name {
+			return &f.types[i]
+		}
+	}
+	return nil
+}
+
+func size(mt *protocol.MachineType) need { return need{mt.CPUs, mt.GPUs, mt.MemoryGB} }
+
+func (e *engine) cloud(c CloudCall, cc cloudCall) bool {
+	f, now := &e.fleet, e.n.now.Mono
+	if f.budget == nil {
+		rps := e.n.cfg.Settings.Cloud.RPS
+		f.budget = rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))
+		f.calls = map[uint64]cloudCall{}
+	}
+	if now < f.back || !f.budget.AllowN(time.Unix(1, 0).Add(now), 1) {
+		return false
+	}
+	c.ID = e.n.id()
+	f.calls[c.ID] = cc
+	e.n.emit(c)
+	return true
+}
+
+func (e *engine) fleetTick() {
+	f, now := &e.fleet, e.n.now.Mono
+	if now < f.planAt {
+		return
+	}
+	f.planAt = now + e.rules.report/6
+	if f.typesAt == 0 || now > f.typesAt {
+		if e.cloud(CloudCall{Op: CloudTypes}, cloudCall{op: CloudTypes}) {
+			f.typesAt = now + e.rules.lease*2
+			if len(f.types) == 0 {
+				f.typesAt = now + e.rules.report
+			}
+		}
+	}
+	for _, r := range slices.Clone(f.rentals) {
+		if r.ready && !r.Answered && !r.calling && now >= r.again {
+			r.calling = e.cloud(CloudCall{Op: CloudRent, Rental: protocol.Rental{
+				Request: r.Request, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: r.Count,
+			}}, cloudCall{op: CloudRent, rental: r})
+		}
+		if r.Answered && !slices.ContainsFunc(r.Hosts, e.unheard) {
+			f.rentals = slices.DeleteFunc(f.rentals, func(x *rental) bool { return x == r })
+			e.book.Remove(now, r, nil)
+		}
+	}
+	if !f.listing && now >= f.listAt {
+		f.listing = e.cloud(CloudCall{Op: CloudList}, cloudCall{op: CloudList})
+		f.seen = map[string]bool{}
+	}
+	if len(f.types) == 0 || f.lists == 0 || now < e.ledAt+e.rules.report*3/2 && len(e.hosts) > 0 {
+		return
+	}
+	e.schedule = e.schedule || len(f.unplaced) > 0
+	need := e.plan()
+	e.giveBack(need)
+}
+
+// unheard tells whether a rented machine is known from nowhere but its rental.
+func (e *engine) unheard(name string) bool {
+	if _, gone := e.gone[name]; gone {
+		return false
+	}
+	h := e.hosts[name]
+	return h == nil || !h.up && h.listed == 0
+}
+
+func (e *engine) cloudResult(c CloudResult) {
+	f, now := &e.fleet, e.n.now.Mono
+	cc, ok := f.calls[c.ID]
+	if !ok {
+		return
+	}
+	delete(f.calls, c.ID)
+	if c.Outcome == Refused || c.Outcome == Lost || c.Outcome == NotSent {
+		f.back = now + e.rules.report/3
+	}
+	switch cc.op {
+	case CloudTypes:
+		if c.Outcome == OK && len(c.Types) > 0 {
+			f.types = c.Types
+			e.schedule = true
+		}
+	case CloudList:
+		e.listed(c)
+	case CloudRent:
+		e.rented(cc.rental, c)
+	case CloudReturn:
+		if c.Outcome != OK {
+			for _, name := range cc.hosts {
+				if h := e.hosts[name]; h != nil {
+					h.returning = true
+					h.returnCall = false
+				}
+			}
+			return
+		}
+		for _, name := range cc.hosts {
+			h := e.hosts[name]
+			if h == nil {
+				continue
+			}
+			for _, t := range slices.Clone(h.tasks) {
+				e.lost(t, "machine returned")
+			}
+			e.removeHost(h)
+			e.gone[name] = now
+			e.n.Stats.Returned++
+		}
+		e.schedule = true
+	}
+}
+
+func (e *engine) rented(r *rental, c CloudResult) {
+	f, now := &e.fleet, e.n.now.Mono
+	r.calling = false
+	switch c.Outcome {
+	case OK:
+		r.Answered, r.Hosts = true, c.Hosts
+		e.n.Stats.Rented += int64(len(c.Hosts))
+		e.n.log(Info, "machines rented", "request", r.Request, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(c.Hosts))
+		for _, name := range c.Hosts {
+			if _, gone := e.gone[name]; gone {
+				continue
+			}
+			h := e.host(name)
+			h.kind, h.zone, h.spot = r.Type, r.Zone, r.Spot
+			h.rentedAt = now
+		}
+		if len(c.Hosts) < r.Count {
+			e.noCapacity(r)
+		}
+		e.book.Touch(now, r, nil)
+	case NotFound, Invalid: // no capacity, or malformed
+		if c.Outcome == Invalid {
+			e.n.log(Error, "the cloud calls a rental malformed", "type", r.Type, "zone", r.Zone, "count", r.Count)
+		}
+		e.noCapacity(r)
+		f.rentals = slices.DeleteFunc(f.rentals, func(x *rental) bool { return x == r })
+		e.book.Remove(now, r, nil)
+	default:
+		// It may have been done: only its own name asks again without renting twice.
+		r.again = now + e.rules.report/3
+	}
+}
+
+func (e *engine) noCapacity(r *rental) {
+	if e.fleet.refused == nil {
+		e.fleet.refused = map[offer]time.Duration{}
+	}
+	e.fleet.refused[offer{r.Type, r.Zone, r.Spot}] = e.n.now.Mono + e.rules.lease*2
+}
+
+func (e *engine) listed(c CloudResult) {
+	f, now := &e.fleet, e.n.now.Mono
+	f.listing = false
+	if c.Outcome != OK {
+		f.listAt = now + e.rules.report
+		return
+	}
+	for _, m := range c.List.Machines {
+		f.seen[m.Host] = true
+		if _, gone := e.gone[m.Host]; gone {
+			continue
+		}
+		known := e.hosts[m.Host] != nil
+		h := e.host(m.Host)
+		if !known || !h.up && h.listed == 0 {
+			h.rentedAt = now - config.Seconds(m.AgeS)
+		}
+		h.kind, h.zone, h.spot = m.Type, m.Zone, m.Spot
+		h.listed = now
+		if m.Status == protocol.MachineFailed && !h.failedMachine {
+			h.failedMachine = true
+			e.n.log(Info, "machine has failed", "host", h.name, "tasks", len(h.tasks))
+			e.schedule = true
+		}
+	}
+	if c.List.More && len(c.List.Machines) > 0 {
+		f.listing = e.cloud(CloudCall{Op: CloudList, After: c.List.Machines[len(c.List.Machines)-1].Host}, cloudCall{op: CloudList})
+		return
+	}
+	f.lists++
+	lag := config.Seconds(e.n.cfg.Settings.Cloud.ListLag)
+	f.listAt = now + max(lag/2, e.rules.report)
+	for _, h := range slices.Clone(e.byName) {
+		if f.seen[h.name] || len(h.tasks) > 0 {
+			continue
+		}
+		// A list may be old, so one that lacks a machine proves nothing; many do.
+		dead := h.up && h.session <= h.dead || !h.up
+		last := max(h.listed, h.rentedAt, h.heard, e.ledAt)
+		if dead && now-last > 4*lag+e.rules.lease {
+			e.removeHost(h)
+		}
+	}
+}
+
+// booted notes the first report of a machine in this term.
+func (e *engine) booted(h *host) {
+	h.emptySince = e.n.now.Mono
+	e.n.log(Debug, "machine is up", "host", h.name, "type", h.kind, "zone", h.zone, "spot", h.spot)
+}
+
+// coming tells whether a machine that isn't up can still be counted on.
+func (e *engine) coming(h *host) bool {
+	mt := e.fleet.kind(h.kind)
+	if h.up || mt == nil || h.returning || h.failedMachine {
+		return false
+	}
+	return e.n.now.Mono-h.rentedAt < config.Seconds(mt.BootS*2)
+}
+
+// bin is a machine, or one to be rented, in the plan.
+type bin struct {
+	h     *host
+	offer offer
+	room  need
+	used  bool
+}
+
+// plan packs what waits, and the room to be kept, into what is free, coming,
+// and has to be rented. It gives the machines that the plan needs.
+func (e *engine) plan() map[*host]bool {
+	f := &e.fleet
+	var bins []*bin
+	for _, h := range e.byName {
+		mt := f.kind(h.kind)
+		if mt == nil {
+			continue
+		}
+		switch {
+		case e.alive(h):
+			bins = append(bins, &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: e.free(h)})
+		case e.coming(h):
+			bins = append(bins, &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: size(mt)})
+		}
+	}
+	for _, r := range f.rentals {
+		if mt := f.kind(r.Type); mt != nil && !r.Answered {
+			for range r.Count {
+				bins = append(bins, &bin{offer: offer{r.Type, r.Zone, r.Spot}, room: size(mt)})
+			}
+		}
+	}
+	firstNew := len(bins)
+	want := func(j *job, n int, use map[string]int) {
+		for range n {
+			if b := pack(bins, j, use); b != nil {
+				b.room = b.room.minus(j.need)
+				b.used = true
+				use[b.offer.zone]++
+				continue
+			}
+			o, ok := e.cheapest(j, use, n)
+			if !ok {
+				return
+			}
+			b := &bin{offer: o, room: size(f.kind(o.kind)).minus(j.need), used: true}
+			bins = append(bins, b)
+			use[o.zone]++
+		}
+	}
+	for _, w := range f.unplaced {
+		if !w.job.over && !w.job.Cancelled {
+			want(w.job, min(w.tasks, w.job.idle()), w.job.zoneUse())
+		}
+	}
+	for _, name := range e.classNames() {
+		if c := e.classes[name]; c.sample != nil {
+			want(c.sample, e.warmTasks(c), map[string]int{})
+		}
+	}
+	counts := map[offer]int{}
+	var offers []offer
+	for _, b := range bins[firstNew:] {
+		if counts[b.offer] == 0 {
+			offers = append(offers, b.offer)
+		}
+		counts[b.offer]++
+	}
+	for _, o := range offers {
+		e.rent(o, min(counts[o], 50))
+	}
+	needed := map[*host]bool{}
+	for _, b := range bins[:firstNew] {
+		if b.h != nil && b.used {
+			needed[b.h] = true
+		}
+	}
+	return needed
+}
+
+func (e *engine) classNames() []string {
+	names := make([]string, 0, len(e.classes))
+	for n := range e.classes {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// warmTasks is how many tasks of a class to keep room for: what may arrive,
+// beyond what leaves, while a machine boots.
+func (e *engine) warmTasks(c *class) int {
+	now := e.n.now.Mono
+	window := e.rules.lease * 10
+	n := 0
+	for _, at := range c.arrivals {
+		if now-at < window {
+			n++
+		}
+	}
+	span := min(window, max(now-e.ledAt, e.rules.lease))
+	boot := 0.0
+	for _, mt := range e.fleet.types {
+		if c.need.fits(size(&mt)) {
+			boot = max(boot, mt.BootS)
+		}
+	}
+	expected := float64(n) / span.Seconds() * boot
+	return int(math.Round(e.opt.WarmZ * math.Sqrt(expected) * c.tasks))
+}
+
+// pack finds the fullest bin with room.
+func pack(bins []*bin, j *job, use map[string]int) *bin {
+	var best *bin
+	for _, b := range bins {
+		if !j.allowed(b.offer.kind, b.offer.zone, b.offer.spot) || !j.zoneOK(b.offer.zone, use) || !j.need.fits(b.room) {
+			continue
+		}
+		if best == nil || b.room.gpus+b.room.cpus/1000 < best.room.gpus+best.room.cpus/1000 {
+			best = b
+		}
+	}
+	return best
+}
+
+// cheapest is the offer that gives a task of the job its place for the least.
+func (e *engine) cheapest(j *job, use map[string]int, n int) (offer, bool) {
+	f, now := &e.fleet, e.n.now.Mono
+	var best offer
+	bestCost := math.Inf(1)
+	for i := range f.types {
+		mt := &f.types[i]
+		slots := j.need.count(size(mt), 1<<20)
+		if slots == 0 {
+			continue
+		}
+		if j.need.gpus == 0 {
+			slots = min(slots, max(n, 1)) // nobody else will use the GPUs
+			if mt.GPUs > 0 {
+				slots = min(slots, 8)
+			}
+		}
+		for _, z := range mt.Zones {
+			for _, spot := range []bool{true, false} {
+				o := offer{mt.Name, z, spot}
+				if !j.allowed(mt.Name, z, spot) || !j.zoneOK(z, use) || now < f.refused[o] {
+					continue
+				}
+				price := mt.Price
+				if spot {
+					price = mt.SpotPrice
+				}
+				c := price / float64(slots) * (1 + 0.01*float64(use[z]))
+				if c < bestCost {
+					best, bestCost = o, c
+				}
+			}
+		}
+	}
+	return best, !math.IsInf(bestCost, 1)
+}
+
+// rent records a request for machines; it is made once that is durable.
+func (e *engine) rent(o offer, count int) {
+	f, now := &e.fleet, e.n.now.Mono
+	for _, r := range f.rentals {
+		if !r.Answered && r.Type == o.kind && r.Zone == o.zone && r.Spot == o.spot {
+			return // one at a time for each offer
+		}
+	}
+	f.counter++
+	r := &rental{RentalRecord: bookkeeping.RentalRecord{
+		Request: fmt.Sprintf("oakpick-%d-%d", e.firstT, f.counter), Type: o.kind, Zone: o.zone, Spot: o.spot, Count: count, AtMs: e.n.now.WallMs,
+	}}
+	if !e.book.Fits(r) {
+		r.Count = 1
+	}
+	f.rentals = append(f.rentals, r)
+	e.book.Touch(now, r, bookkeeping.NewWait(func() {
+		r.ready = true
+		e.fleet.planAt = 0
+	}))
+}
+
+// giveBack returns machines that are empty, have failed or never came up.
+func (e *engine) giveBack(needed map[*host]bool) {
+	now := e.n.now.Mono
+	var back []string
+	for _, h := range e.byName {
+		mt := e.fleet.kind(h.kind)
+		if h.returnCall || len(back) >= 100 {
+			continue
+		}
+		why := ""
+		switch {
+		case h.returning:
+			why = "again"
+		case h.failedMachine:
+			why = "it has failed"
+		case !h.up && mt != nil && now-h.rentedAt > config.Seconds(mt.BootS*e.opt.GiveUpBoots):
+			why = "it never came up"
+		case h.up && h.session <= h.dead && now-h.heard > e.rules.lease*5:
+			why = "it is silent"
+		case h.up && len(h.tasks) == 0 && h.sick:
+			why = "it is set aside"
+		case h.up && len(h.tasks) == 0 && len(h.others) == 0 && !needed[h] && h.noticeAt == 0 &&
+			now-h.emptySince > config.Seconds(e.opt.IdleS) && now-e.ledAt > config.Seconds(e.opt.IdleS):
+			why = "it is idle"
+		}
+		if why == "" {
+			continue
+		}
+		e.n.log(Info, "machine returned", "host", h.name, "type", h.kind, "why", why)
+		back = append(back, h.name)
+	}
+	if len(back) == 0 {
+		return
+	}
+	slices.SortFunc(back, cmp.Compare)
+	if e.cloud(CloudCall{Op: CloudReturn, Hosts: back}, cloudCall{op: CloudReturn, hosts: back}) {
+		for _, name := range back {
+			h := e.hosts[name]
+			h.returning, h.returnCall = true, true
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/node.go
@@ -0,0 +1,286 @@
+// Package coordination decides: who holds the term, what runs where, what is
+// stopped, rented and returned. All of it is one deterministic state machine:
+// commands and the time go in, effects come out. It does no input or output,
+// reads no clock and starts no goroutine.
+package coordination
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"oakpick/internal/bookkeeping"
+	"oakpick/internal/config"
+	"oakpick/internal/protocol"
+)
+
+// Now is the time of a step: the steady clock since the process began, and the
+// time of day in milliseconds.
+type Now struct {
+	Mono   time.Duration
+	WallMs int64
+}
+
+// Outcome is how a call to another component ended.
+type Outcome = bookkeeping.Outcome
+
+// Outcomes.
+const (
+	OK       = bookkeeping.OK
+	Conflict = bookkeeping.Conflict
+	NotFound = bookkeeping.NotFound
+	Invalid  = bookkeeping.Invalid
+	Refused  = bookkeeping.Refused
+	NotSent  = bookkeeping.NotSent
+	Lost     = bookkeeping.Lost
+)
+
+// Calls to the state service, and their answers.
+type (
+	StateCall   = bookkeeping.StateCall
+	StateResult = bookkeeping.StateResult
+)
+
+// Commands that go into Step.
+type (
+	// UserCall is a request of a user.
+	UserCall struct {
+		ID     uint64
+		Kind   UserKind
+		Job    string
+		Submit *protocol.Submission
+	}
+	// ReportCall is a report of a worker.
+	ReportCall struct {
+		ID     uint64
+		Report *protocol.Report
+	}
+	// LetGoCall is a new leader's question.
+	LetGoCall struct {
+		ID   uint64
+		Term int64
+	}
+	// CloudResult answers a CloudCall.
+	CloudResult struct {
+		ID      uint64
+		Outcome Outcome
+		Types   []protocol.MachineType
+		List    protocol.MachineList
+		Hosts   []string
+	}
+	// OrdersResult answers an OrdersCall: OK, Conflict (nothing executed), NotSent or Lost.
+	OrdersResult struct {
+		ID      uint64
+		Host    string
+		Outcome Outcome
+		Report  *protocol.Report
+	}
+	// PeerResult answers a PeerCall.
+	PeerResult struct {
+		Peer     string
+		Term     int64
+		Released bool
+	}
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+// UserKind is what a user asks.
+type UserKind uint8
+
+// What users ask.
+const (
+	Submit UserKind = iota
+	Poll
+	Cancel
+)
+
+// Effects that come out of Step.
+type (
+	// Reply answers a UserCall, ReportCall or LetGoCall.
+	Reply struct {
+		ID         uint64
+		Status     int
+		Body       []byte
+		RetryAfter int // seconds; 0: not said
+	}
+	// Forward hands a UserCall to the leader.
+	Forward struct {
+		ID   uint64
+		Peer string
+	}
+	// CloudCall asks the cloud.
+	CloudCall struct {
+		ID     uint64
+		Op     CloudOp
+		After  string
+		Rental protocol.Rental
+		Hosts  []string
+	}
+	// OrdersCall sends commands straight to a worker.
+	OrdersCall struct {
+		ID             uint64
+		Host, Addr     string
+		Token, Session int64
+		Commands       []protocol.Command
+	}
+	// PeerCall asks a peer to let go of terms below Term.
+	PeerCall struct {
+		Peer string
+		Term int64
+	}
+	// Log is a line for the operator.
+	Log struct {
+		Level LogLevel
+		Text  string
+		Args  []any
+	}
+)
+
+// CloudOp is a request to the cloud.
+type CloudOp uint8
+
+// Requests to the cloud.
+const (
+	CloudTypes CloudOp = iota
+	CloudList
+	CloudRent
+	CloudReturn
+)
+
+// LogLevel is how much a line matters.
+type LogLevel uint8
+
+// Levels.
+const (
+	Debug LogLevel = iota
+	Info
+	Error
+)
+
+// Node is one controller.
+type Node struct {
+	cfg    *config.Config
+	rules  Rules
+	now    Now
+	out    []any
+	nextID uint64
+	rng    *rand.Rand
+	boot   string // tells this process from earlier ones of the same node
+
+	term   term
+	engine *engine // nil while not leading
+	Stats  Stats
+}
+
+// Stats are counts since the process began.
+type Stats struct {
+	Submitted, Polled, Cancelled, Shed int64
+	Reports, StaleReports              int64
+	Starts, Lost, Finished, Preempted  int64
+	Failed, Raised, Terms              int64
+	Rented, Returned                   int64
+	Txns, Retries                      int64
+}
+
+// New makes a node. The seed and the boot name must differ between processes.
+func New(cfg *config.Config, boot string, seed uint64) *Node {
+	n := &Node{cfg: cfg, boot: boot, rng: rand.New(rand.NewPCG(seed, 0x6f616b)), rules: NewRules(cfg)}
+	return n
+}
+
+// Step takes a batch of commands and gives what is to be done about them.
+func (n *Node) Step(now Now, commands []any) []any {
+	n.now, n.out = now, nil
+	for _, c := range commands {
+		n.handle(c)
+	}
+	n.termTick()
+	if n.engine != nil {
+		n.engine.afterBatch()
+	}
+	return n.out
+}
+
+func (n *Node) emit(effect any) { n.out = append(n.out, effect) }
+
+func (n *Node) log(level LogLevel, text string, args ...any) {
+	n.emit(Log{Level: level, Text: text, Args: args})
+}
+
+func (n *Node) id() uint64 { n.nextID++; return n.nextID }
+
+func (n *Node) refuse(id uint64, why string) {
+	n.emit(Reply{ID: id, Status: 503, Body: protocol.EncodeError(why), RetryAfter: 1})
+}
+
+func (n *Node) handle(c any) {
+	switch c := c.(type) {
+	case UserCall:
+		n.user(c)
+	case ReportCall:
+		n.report(c)
+	case LetGoCall:
+		n.letGo(c)
+	case StateResult:
+		n.stateResult(c)
+	case CloudResult:
+		if n.engine != nil {
+			n.engine.cloudResult(c)
+		}
+	case OrdersResult:
+		if n.engine != nil {
+			n.engine.ordersResult(c)
+		}
+	case PeerResult:
+		n.peerResult(c)
+	case Tick:
+	}
+}
+
+func (n *Node) user(c UserCall) {
+	switch {
+	case n.engine != nil && n.certain():
+		n.engine.user(c)
+	case n.engine == nil && n.term.leader != "" && n.term.leader != n.cfg.Node:
+		n.emit(Forward{ID: c.ID, Peer: n.term.leader})
+	default:
+		n.refuse(c.ID, "no leader")
+	}
+}
+
+func (n *Node) report(c ReportCall) {
+	if n.engine != nil {
+		n.engine.reportCall(c)
+		return
+	}
+	leader := n.term.leader
+	if leader == n.cfg.Node {
+		leader = ""
+	}
+	n.emit(Reply{ID: c.ID, Status: 421, Body: protocol.EncodeReportTo(leader)})
+}
+
+// Healthy tells whether the node can take requests: it leads with a certain
+// term, or has lately heard of a leader to hand them to.
+func (n *Node) Healthy() bool {
+	if n.engine != nil {
+		return true
+	}
+	return n.now.Mono-n.term.heard < n.rules.healthFor || n.now.Mono < n.rules.healthFor
+}
+
+// Role says what the node is doing.
+func (n *Node) Role() string {
+	switch {
+	case n.engine != nil && n.certain():
+		return "leader"
+	case n.engine != nil:
+		return "leader in doubt"
+	case n.term.loading != nil:
+		return "taking over"
+	}
+	return "follower"
+}
+
+// Leads tells whether the node holds, or still answers for, a term.
+func (n *Node) Leads() bool { return n.engine != nil }
--- /dev/null
+++ b/internal/coordination/rules.go
@@ -0,0 +1,47 @@
+package coordination
+
+import (
+	"time"
+
+	"oakpick/internal/config"
+)
+
+// Rules are the node's own times, each a ratio to a figure of the settings.
+type Rules struct {
+	ttl       time.Duration // of the term's lease
+	renew     time.Duration // between renewals
+	poll      time.Duration // between a follower's looks at the term's key
+	hold      time.Duration // how long a leader in doubt goes on answering workers
+	lease     time.Duration // after which a worker's lease has certainly lapsed
+	report    time.Duration
+	answer    time.Duration // how long a direct command may take
+	retry     time.Duration // before a refused or lost write is sent again
+	raise     time.Duration // least time between two raises of the token
+	healthFor time.Duration
+	cancel    time.Duration // after which a machine that may not obey isn't answered
+	blockSize int
+}
+
+// drift is more than twice what the steady clocks of two machines may differ by.
+const drift = 0.0011
+
+// NewRules derives the times from the settings.
+func NewRules(cfg *config.Config) Rules {
+	w := cfg.Settings.Workers
+	sec := config.Seconds
+	lease := sec(w.Lease * (1 + drift))
+	r := Rules{
+		ttl:    sec(w.Lease / 5),
+		renew:  sec(w.Lease / 25),
+		poll:   sec(w.Lease / 30),
+		hold:   sec(w.Lease * 2),
+		lease:  lease + sec(w.Report/20),
+		report: sec(w.Report),
+		answer: sec(w.Report * 0.75),
+		retry:  sec(w.Report / 20),
+		raise:  sec(w.Lease / 4),
+		cancel: sec(w.Cancel - w.Lease*(1+2*drift) - w.Report),
+	}
+	r.healthFor = r.ttl * 3
+	return r
+}
--- /dev/null
+++ b/internal/coordination/term.go
@@ -0,0 +1,370 @@
+package coordination
+
+import (
+	"fmt"
+	"time"
+
+	"oakpick/internal/bookkeeping"
+	"oakpick/internal/protocol"
+)
+
+// LeaderKey is the key whose version is the term and the workers' token.
+const LeaderKey = "oakpick/leader"
+
+// leaderValue is what the leader's key holds.
+type leaderValue struct {
+	Node  string `msgpack:"node"`
+	Boot  string `msgpack:"boot"`
+	Lease int64  `msgpack:"permit"`
+	Raise int64  `msgpack:"raise"`
+}
+
+type purpose uint8
+
+const (
+	forLook purpose = iota
+	forGrant
+	forAcquire
+	forRenew
+	forBarrier
+	forPages
+	forRaise
+	forRaiseCheck
+	forPageTxn
+	forPageCheck
+	forTermCheck
+)
+
+type pending struct {
+	why  purpose
+	sent time.Duration
+}
+
+// term is a node's view of who leads.
+type term struct {
+	calls  map[uint64]pending
+	leader string
+	heard  time.Duration // when the state service, or a leader, was last heard
+
+	lookAt   time.Duration
+	looking  bool
+	lease    int64
+	until    time.Duration // while the lease certainly lasts, by our clock
+	renewAt  time.Duration
+	seen     int64 // version of the leader's key when last read; 0: absent
+	own      int64 // the version that we hold; 0: none
+	taken    int64 // the first version of this reign, before any raise
+	loading  *loader
+	acquire  *protocol.Txn
+	acquired time.Duration
+
+	// letting go, see letGo
+	released map[string]time.Duration
+	askAt    time.Duration
+	floor    int64 // never act for a term below
+}
+
+type loader struct {
+	entries []protocol.Entry
+	barrier bool
+}
+
+func (n *Node) state(why purpose, c StateCall) {
+	if n.term.calls == nil {
+		n.term.calls = map[uint64]pending{}
+	}
+	c.ID = n.id()
+	n.term.calls[c.ID] = pending{why, n.now.Mono}
+	n.emit(c)
+}
+
+// certain tells whether no other node can have taken the term yet.
+func (n *Node) certain() bool { return n.engine != nil && n.now.Mono < n.term.until }
+
+func (n *Node) extend(sent time.Duration) {
+	ttl := n.rules.ttl
+	// The lease counts from when the request was sent, on a clock that may be
+	// slow; a twentieth is left for the time between a check and its use.
+	if until := sent + ttl - time.Duration(float64(ttl)*drift) - ttl/20; until > n.term.until {
+		n.term.until = until
+	}
+}
+
+func (n *Node) termTick() {
+	t, now := &n.term, n.now.Mono
+	if t.own != 0 && now >= t.renewAt {
+		t.renewAt = now + n.rules.renew
+		n.state(forRenew, StateCall{Op: bookkeeping.StateRenew, Lease: t.lease})
+	}
+	if n.engine != nil && now > t.until+n.rules.hold {
+		n.stepDown("the hold is over")
+	}
+	if t.own != 0 {
+		n.askRelease()
+		if n.engine == nil && now > t.until {
+			n.stepDown("the term's lease ended while taking over")
+		}
+		return
+	}
+	if !t.looking && now >= t.lookAt {
+		t.looking = true
+		n.state(forLook, StateCall{Op: bookkeeping.StateGet, Key: LeaderKey})
+	}
+}
+
+// lookLater plans the next look at the leader's key.
+func (n *Node) lookLater() {
+	n.term.looking = false
+	jitter := time.Duration(n.rng.Int64N(int64(n.rules.poll)/4 + 1))
+	n.term.lookAt = n.now.Mono + n.rules.poll + jitter
+}
+
+func (n *Node) stepDown(why string) {
+	t := &n.term
+	n.log(Info, "term lost", "term", t.own, "why", why)
+	if n.engine != nil {
+		n.engine.close()
+	}
+	n.engine = nil
+	t.own, t.lease, t.loading, t.acquire = 0, 0, nil, nil
+	t.leader, t.until = "", 0
+	n.lookLater()
+}
+
+func (n *Node) stateResult(r StateResult) {
+	p, ok := n.term.calls[r.ID]
+	if !ok {
+		return
+	}
+	delete(n.term.calls, r.ID)
+	t := &n.term
+	if r.Outcome == OK || r.Outcome == NotFound || r.Outcome == Conflict {
+		t.heard = n.now.Mono
+	}
+	switch p.why {
+	case forLook:
+		n.looked(r)
+	case forGrant:
+		n.granted(r, p)
+	case forAcquire:
+		n.acquiredResult(r)
+	case forRenew:
+		if t.own == 0 {
+			return
+		}
+		switch r.Outcome {
+		case OK:
+			n.extend(p.sent)
+		case NotFound:
+			n.stepDown("the term's lease has ended")
+		}
+	case forBarrier, forPages:
+		n.loadResult(p.why, r)
+	default:
+		if n.engine != nil {
+			n.engine.stateResult(p.why, r)
+		}
+	}
+}
+
+func (n *Node) looked(r StateResult) {
+	t := &n.term
+	if t.own != 0 {
+		t.looking = false
+		return
+	}
+	switch r.Outcome {
+	case OK:
+		var v leaderValue
+		if protocol.Decode(r.Entry.Value, &v) != nil {
+			n.log(Error, "leader key holds something else")
+			n.lookLater()
+			return
+		}
+		t.seen = r.Entry.Version
+		switch {
+		case t.acquire != nil && v.Boot == n.boot && v.Lease == t.lease:
+			n.tookTerm(r.Entry.Version)
+			return
+		case v.Node == n.cfg.Node && v.Boot != n.boot:
+			// Our own node's earlier process is dead: one process a node. Its
+			// term needn't run out first.
+			n.askLease()
+			return
+		}
+		t.acquire = nil
+		if v.Node != n.cfg.Node {
+			if t.leader != v.Node {
+				n.log(Info, "following", "leader", v.Node, "term", r.Entry.Version)
+			}
+			t.leader = v.Node
+		}
+		n.lookLater()
+	case NotFound:
+		t.seen, t.leader = 0, ""
+		n.askLease()
+	default:
+		n.lookLater()
+	}
+}
+
+func (n *Node) askLease() {
+	t := &n.term
+	if t.acquire != nil && n.now.Mono < t.until {
+		n.sendAcquire()
+		return
+	}
+	t.acquire = nil
+	n.state(forGrant, StateCall{Op: bookkeeping.StateGrant, TTL: n.rules.ttl})
+}
+
+func (n *Node) granted(r StateResult, p pending) {
+	t := &n.term
+	if t.own != 0 || r.Outcome != OK {
+		n.lookLater()
+		return
+	}
+	t.lease, t.until = r.Number, 0
+	n.extend(p.sent)
+	t.acquire = &protocol.Txn{
+		If:   []protocol.Condition{{Key: LeaderKey, Version: t.seen}},
+		Then: []protocol.Change{{Put: LeaderKey, Value: leaderValue{Node: n.cfg.Node, Boot: n.boot, Lease: t.lease}, Lease: t.lease}},
+	}
+	n.sendAcquire()
+}
+
+func (n *Node) sendAcquire() {
+	n.term.looking = true
+	n.state(forAcquire, StateCall{Op: bookkeeping.StateTxn, Txn: *n.term.acquire})
+}
+
+func (n *Node) acquiredResult(r StateResult) {
+	t := &n.term
+	if t.own != 0 || t.acquire == nil {
+		return
+	}
+	if r.Outcome == OK {
+		n.tookTerm(r.Number)
+		return
+	}
+	if r.Outcome == Invalid {
+		t.acquire = nil
+	}
+	// Refused, lost to another, or not answered: the next look tells.
+	n.lookLater()
+	t.lookAt = n.now.Mono + n.rules.retry
+}
+
+func (n *Node) tookTerm(version int64) {
+	t := &n.term
+	t.looking, t.acquire = false, nil
+	if version <= t.floor || n.now.Mono >= t.until {
+		n.stepDown("taken too late")
+		return
+	}
+	t.own, t.taken, t.leader = version, version, n.cfg.Node
+	t.acquired, t.renewAt = n.now.Mono, n.now.Mono
+	t.released, t.askAt = map[string]time.Duration{}, 0
+	t.loading = &loader{}
+	n.Stats.Terms++
+	n.log(Info, "term taken", "term", version)
+	n.state(forBarrier, StateCall{Op: bookkeeping.StateTxn, Txn: protocol.Txn{If: []protocol.Condition{{Key: LeaderKey, Version: version}}}})
+}
+
+func (n *Node) loadResult(why purpose, r StateResult) {
+	t := &n.term
+	l := t.loading
+	if l == nil {
+		return
+	}
+	again := func() {
+		after := ""
+		if len(l.entries) > 0 {
+			after = l.entries[len(l.entries)-1].Key
+		}
+		if !l.barrier {
+			n.state(forBarrier, StateCall{Op: bookkeeping.StateTxn, Txn: protocol.Txn{If: []protocol.Condition{{Key: LeaderKey, Version: t.own}}}})
+			return
+		}
+		n.state(forPages, StateCall{Op: bookkeeping.StateList, Key: bookkeeping.Root, After: after})
+	}
+	switch {
+	case r.Outcome == Conflict:
+		n.stepDown("another took the term")
+	case r.Outcome != OK:
+		again()
+	case why == forBarrier:
+		l.barrier = true
+		again()
+	default:
+		l.entries = append(l.entries, r.List.Entries...)
+		if r.List.More {
+			again()
+			return
+		}
+		t.loading = nil
+		e, err := newEngine(n, l.entries)
+		if err != nil {
+			n.log(Error, "cannot read the books", "error", err.Error())
+			n.stepDown("the books can't be read")
+			return
+		}
+		n.engine = e
+	}
+}
+
+// letGo answers a new leader: whatever term below its own this node held, it
+// no longer answers workers for it.
+func (n *Node) letGo(c LetGoCall) {
+	t := &n.term
+	t.floor = max(t.floor, c.Term-1)
+	if t.own != 0 && t.own < c.Term {
+		n.stepDown(fmt.Sprintf("a peer leads with term %d", c.Term))
+	}
+	n.emit(Reply{ID: c.ID, Status: 200, Body: protocol.Encode(protocol.LetGoAnswer{Released: true})})
+}
+
+// askRelease asks every peer that hasn't said so to let go of older terms.
+func (n *Node) askRelease() {
+	t := &n.term
+	if len(t.released) == len(n.cfg.Peers) || n.now.Mono < t.askAt || n.now.Mono > t.acquired+n.rules.hold {
+		return
+	}
+	t.askAt = n.now.Mono + n.rules.report/3
+	for _, p := range n.cfg.Peers {
+		if _, ok := t.released[p.Name]; !ok {
+			n.emit(PeerCall{Peer: p.Name, Term: t.own})
+		}
+	}
+}
+
+func (n *Node) peerResult(r PeerResult) {
+	t := &n.term
+	if t.own == 0 || !r.Released || r.Term > t.own || r.Term < t.first() {
+		return
+	}
+	if _, ok := t.released[r.Peer]; !ok {
+		t.released[r.Peer] = n.now.Mono
+	}
+}
+
+// first is the least term that this reign may have asked with.
+func (t *term) first() int64 { return t.taken }
+
+// lapseBase is when every earlier leader had certainly stopped answering
+// workers: when the last peer said so, or else when its hold must have ended.
+// Each earlier term's lease ended before ours was taken, and nobody answers
+// workers for longer than the hold beyond that.
+func (n *Node) lapseBase() time.Duration {
+	t := &n.term
+	base := t.acquired
+	bound := t.acquired + n.rules.hold + time.Duration(float64(n.rules.hold)*drift)
+	for _, p := range n.cfg.Peers {
+		at, ok := t.released[p.Name]
+		if !ok {
+			return bound
+		}
+		base = max(base, at)
+	}
+	return min(base, bound)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,246 @@
+// Package daemon is a controller's process: one owner of all state that works
+// through a queue of commands in batches, and the goroutines that carry its
+// effects out and bring the answers back as commands.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"oakpick/internal/bookkeeping"
+	"oakpick/internal/config"
+	"oakpick/internal/coordination"
+	"oakpick/internal/transport"
+)
+
+type item struct {
+	command any
+	raw     transport.Raw
+	reply   chan coordination.Reply
+}
+
+type waiter struct {
+	reply chan coordination.Reply
+	raw   transport.Raw
+	since time.Duration
+}
+
+type daemon struct {
+	cfg     *config.Config
+	log     *slog.Logger
+	node    *coordination.Node
+	began   time.Time
+	queue   chan item
+	waits   map[uint64]waiter
+	nextID  uint64
+	healthy atomic.Bool
+	shed    atomic.Int64
+
+	state   *bookkeeping.Client
+	workers *transport.Workers
+	cloud   *transport.Cloud
+	peers   *transport.Peers
+	group   *errgroup.Group
+	ctx     context.Context
+}
+
+const batch = 64
+
+// Run serves until the context ends or something that the process cannot do
+// without fails.
+func Run(ctx context.Context, cfg *config.Config, log *slog.Logger) error {
+	s := cfg.Settings
+	runtime.GOMAXPROCS(max(1, int(s.Limits.CPU)))
+	debug.SetMemoryLimit(int64(s.Limits.MemMB * 0.7 * (1 << 20)))
+	debug.SetGCPercent(300)
+
+	front, err := net.Listen("tcp4", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("front: %w", err)
+	}
+	cluster, err := net.Listen("tcp4", cfg.PeerListen)
+	if err != nil {
+		return fmt.Errorf("cluster_listen: %w", err)
+	}
+	var seed [16]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	report := config.Seconds(s.Workers.Report)
+	ttl := config.Seconds(s.Workers.Lease / 5)
+	d := &daemon{
+		cfg: cfg, log: log, began: time.Now(), group: group, ctx: ctx,
+		node:  coordination.New(cfg, hex.EncodeToString(seed[:8]), binary.LittleEndian.Uint64(seed[8:])),
+		queue: make(chan item, 4*batch), waits: map[uint64]waiter{},
+		state:   bookkeeping.NewClient(cfg.Services.State, report/2, ttl/4),
+		workers: transport.NewWorkers(s.Workers),
+		cloud:   transport.NewCloud(cfg.Services.Cloud, s.Workers),
+		peers:   transport.NewPeers(cfg.Peers, s.Workers),
+	}
+	d.healthy.Store(true)
+	limit := transport.NewLimit(s.Limits.MaxConnections/4, report, func() { d.shed.Add(1) })
+	connections := s.Limits.MaxConnections * 3 / 4
+	fs := transport.NewFront(d, limit, connections, report)
+	ps := transport.NewPeerServer(d, limit, nil)
+	group.Go(func() error { return fs.Serve(front) })
+	group.Go(func() error { return ps.Serve(ctx, cluster, connections, 40*report) })
+	group.Go(func() error { d.own(); return nil })
+	group.Go(func() error { <-ctx.Done(); _ = front.Close(); return ctx.Err() })
+	log.Info("oakpick serves", "node", cfg.Node, "front", cfg.Listen, "cluster", cfg.PeerListen)
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// Do is the way in for requests: it hands a command to the owner.
+func (d *daemon) Do(command any, raw transport.Raw, wait time.Duration) coordination.Reply {
+	ch := make(chan coordination.Reply, 1)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	// The body belongs to the server's buffers, which the next request reuses.
+	raw.Body = append([]byte(nil), raw.Body...)
+	select {
+	case d.queue <- item{command, raw, ch}:
+	case <-timer.C:
+		return transport.Busy("too busy")
+	}
+	select {
+	case r := <-ch:
+		return r
+	case <-timer.C:
+		return transport.Busy("not decided in time")
+	}
+}
+
+// Healthy tells whether the node can take requests.
+func (d *daemon) Healthy() bool { return d.healthy.Load() }
+
+// push brings an answer to the owner.
+func (d *daemon) push(command any) {
+	select {
+	case d.queue <- item{command: command}:
+	case <-d.ctx.Done():
+	}
+}
+
+// own is the owner's loop.
+func (d *daemon) own() {
+	tick := time.NewTicker(config.Seconds(d.cfg.Settings.Workers.Report / 40))
+	defer tick.Stop()
+	commands := make([]any, 0, batch)
+	for {
+		commands = commands[:0]
+		select {
+		case <-d.ctx.Done():
+			return
+		case it := <-d.queue:
+			commands = append(commands, d.accept(it))
+		drain:
+			for len(commands) < batch {
+				select {
+				case it := <-d.queue:
+					commands = append(commands, d.accept(it))
+				default:
+					break drain
+				}
+			}
+		case <-tick.C:
+			commands = append(commands, coordination.Tick{})
+		}
+		led := d.node.Leads()
+		now := coordination.Now{Mono: time.Since(d.began), WallMs: time.Now().UnixMilli()}
+		for _, effect := range d.node.Step(now, commands) {
+			d.carryOut(effect)
+		}
+		if led && !d.node.Leads() {
+			d.dropWaits()
+		}
+		d.healthy.Store(d.node.Healthy())
+	}
+}
+
+// accept numbers a request, so that its reply finds the way back.
+func (d *daemon) accept(it item) any {
+	if it.reply == nil {
+		return it.command
+	}
+	d.nextID++
+	d.waits[d.nextID] = waiter{it.reply, it.raw, time.Since(d.began)}
+	switch c := it.command.(type) {
+	case coordination.UserCall:
+		c.ID = d.nextID
+		return c
+	case coordination.ReportCall:
+		c.ID = d.nextID
+		return c
+	case coordination.LetGoCall:
+		c.ID = d.nextID
+		return c
+	}
+	return it.command
+}
+
+// dropWaits refuses what a former leader had not answered yet.
+func (d *daemon) dropWaits() {
+	for id, w := range d.waits {
+		w.reply <- transport.Busy("the leader has changed")
+		delete(d.waits, id)
+	}
+}
+
+func (d *daemon) carryOut(effect any) {
+	switch e := effect.(type) {
+	case coordination.Reply:
+		if w, ok := d.waits[e.ID]; ok {
+			delete(d.waits, e.ID)
+			w.reply <- e
+		}
+	case coordination.Forward:
+		w, ok := d.waits[e.ID]
+		if !ok {
+			return
+		}
+		delete(d.waits, e.ID)
+		if w.raw.FromPeer {
+			// The peer holds us for the leader, and we know of another: it will
+			// learn. To hand it on could go round in circles.
+			w.reply <- transport.Busy("not the leader")
+			return
+		}
+		d.group.Go(func() error {
+			ctx, cancel := context.WithTimeout(d.ctx, 2*time.Second)
+			defer cancel()
+			r, ok := d.peers.Forward(ctx, e.Peer, w.raw.Method, w.raw.Path, w.raw.Body)
+			if !ok {
+				r = transport.Busy("the leader can't be reached")
+			}
+			w.reply <- r
+			return nil
+		})
+	case bookkeeping.StateCall:
+		d.group.Go(func() error { d.push(d.state.Do(e)); return nil })
+	case coordination.CloudCall:
+		d.group.Go(func() error { d.push(d.cloud.Do(e)); return nil })
+	case coordination.OrdersCall:
+		d.group.Go(func() error { d.push(d.workers.Send(e)); return nil })
+	case coordination.PeerCall:
+		d.group.Go(func() error { d.push(d.peers.LetGo(d.ctx, e)); return nil })
+	case coordination.Log:
+		level := [...]slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelError}[e.Level]
+		d.log.Log(d.ctx, level, e.Text, e.Args...)
+	}
+}
--- /dev/null
+++ b/internal/protocol/decode.go
@@ -0,0 +1,352 @@
+package protocol
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// ErrMalformed is wrapped by every error that a sender could have avoided by
+// following the protocol.
+var ErrMalformed = errors.New("malformed")
+
+func malformed(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, args...))
+}
+
+const maxDepth = 8
+
+// checkBody walks a body without recursion deeper than maxDepth, so that
+// neither nesting nor huge declared lengths cost memory, and insists on one
+// map with nothing behind it.
+func checkBody(body []byte) error {
+	if len(body) > MaxBody {
+		return malformed("body over %d bytes", MaxBody)
+	}
+	r := bytes.NewReader(body)
+	d := msgpack.NewDecoder(r)
+	c, err := d.PeekCode()
+	if err != nil || !(msgpcode.IsFixedMap(c) || c == msgpcode.Map16 || c == msgpcode.Map32) {
+		return malformed("body is not a map")
+	}
+	if err := walk(d, r, maxDepth); err != nil {
+		return err
+	}
+	if _, err := d.PeekCode(); err == nil {
+		return malformed("bytes behind the map")
+	}
+	return nil
+}
+
+func walk(d *msgpack.Decoder, r *bytes.Reader, depth int) error {
+	if depth == 0 {
+		return malformed("nested too deeply")
+	}
+	c, err := d.PeekCode()
+	if err != nil {
+		return malformed("cut short")
+	}
+	items := 0
+	switch {
+	case msgpcode.IsFixedMap(c) || c == msgpcode.Map16 || c == msgpcode.Map32:
+		if items, err = d.DecodeMapLen(); err == nil {
+			if items > r.Len() {
+				return malformed("cut short")
+			}
+			items *= 2
+		}
+	case msgpcode.IsFixedArray(c) || c == msgpcode.Array16 || c == msgpcode.Array32:
+		items, err = d.DecodeArrayLen()
+	default:
+		if length := declared(c, d); length > r.Len() {
+			return malformed("cut short")
+		}
+		err = d.Skip()
+	}
+	if err != nil {
+		return malformed("%v", err)
+	}
+	if items > 2*r.Len()+2 {
+		return malformed("cut short")
+	}
+	for range items {
+		if err := walk(d, r, depth-1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// declared is a scalar's length where its first byte alone tells it; longer
+// forms are bounded by the library, which reads in steps.
+func declared(c byte, _ *msgpack.Decoder) int {
+	if msgpcode.IsFixedString(c) {
+		return int(c & msgpcode.FixedStrMask)
+	}
+	return 0
+}
+
+// Submission is a job as its user describes it.
+type Submission struct {
+	ID       string
+	Class    string
+	Team     string
+	Shape    Shape
+	Priority Priority
+	Tasks    int
+	CPUs     float64
+	GPUs     float64
+	MemoryGB float64
+	Image    string
+	ImageGB  float64
+	Types    []string // nil: any
+	Zone     string   // empty: any
+	OneZone  bool
+	Spread   bool
+	Spot     bool
+	Estimate float64
+	SaveEach float64
+	SaveTime float64
+	Deadline float64 // 0: none
+}
+
+type wireSubmission struct {
+	ID        *string   `msgpack:"id"`
+	JobClass  *string   `msgpack:"jobclass"`
+	Owner     *string   `msgpack:"owner"`
+	Shape     *string   `msgpack:"shape"`
+	Rank      *string   `msgpack:"rank"`
+	Pieces    *int64    `msgpack:"pieces"`
+	VCPUs     *float64  `msgpack:"vcpus"`
+	GPUs      *float64  `msgpack:"gpus"`
+	MemGB     *float64  `msgpack:"mem_gb"`
+	Bundle    *string   `msgpack:"bundle"`
+	ImageGB   *float64  `msgpack:"image_gb"`
+	Kinds     *[]string `msgpack:"kinds_of_host"`
+	Site      *string   `msgpack:"site"`
+	Together  *bool     `msgpack:"together"`
+	Spread    *bool     `msgpack:"spread"`
+	Loaners   *bool     `msgpack:"loaners"`
+	Expected  *float64  `msgpack:"expected_s"`
+	Savepoint *float64  `msgpack:"savepoint_s"`
+	Saving    *float64  `msgpack:"saving_s"`
+	Due       *float64  `msgpack:"due_s"`
+}
+
+const (
+	maxTasks  = 100_000
+	maxAmount = 1e9
+	maxName   = 128
+	maxTypes  = 16
+)
+
+// DecodeSubmission reads and checks the body of a submission.
+func DecodeSubmission(body []byte) (*Submission, error) {
+	if err := checkBody(body); err != nil {
+		return nil, err
+	}
+	var w wireSubmission
+	if err := msgpack.Unmarshal(body, &w); err != nil {
+		return nil, malformed("%v", err)
+	}
+	var bad error
+	text := func(name string, v *string) string {
+		if bad == nil && (v == nil || *v == "" || len(*v) > maxName) {
+			bad = malformed("%s: missing, empty or too long", name)
+		}
+		if v == nil {
+			return ""
+		}
+		return *v
+	}
+	amount := func(name string, v *float64) float64 {
+		if bad == nil && (v == nil || math.IsNaN(*v) || *v < 0 || *v > maxAmount) {
+			bad = malformed("%s: missing or out of range", name)
+		}
+		if v == nil {
+			return 0
+		}
+		return *v
+	}
+	flag := func(name string, v *bool) bool {
+		if bad == nil && v == nil {
+			bad = malformed("%s: missing", name)
+		}
+		return v != nil && *v
+	}
+	s := &Submission{
+		ID: text("id", w.ID), Class: text("jobclass", w.JobClass), Team: text("owner", w.Owner),
+		CPUs: amount("vcpus", w.VCPUs), GPUs: amount("gpus", w.GPUs), MemoryGB: amount("mem_gb", w.MemGB),
+		Image: text("bundle", w.Bundle), ImageGB: amount("image_gb", w.ImageGB),
+		OneZone: flag("together", w.Together), Spread: flag("spread", w.Spread), Spot: flag("loaners", w.Loaners),
+		Estimate: amount("expected_s", w.Expected), SaveEach: amount("savepoint_s", w.Savepoint),
+		SaveTime: amount("saving_s", w.Saving),
+	}
+	if bad == nil && !ValidJobID(s.ID) {
+		bad = malformed("id: not a job id")
+	}
+	var ok bool
+	if s.Shape, ok = shapeWords[text("shape", w.Shape)]; !ok && bad == nil {
+		bad = malformed("shape: unknown word")
+	}
+	if s.Priority, ok = priorityWords[text("rank", w.Rank)]; !ok && bad == nil {
+		bad = malformed("rank: unknown word")
+	}
+	if bad == nil && (w.Pieces == nil || *w.Pieces < 1 || *w.Pieces > maxTasks) {
+		bad = malformed("pieces: missing or out of range")
+	}
+	if bad != nil {
+		return nil, bad
+	}
+	s.Tasks = int(*w.Pieces)
+	if w.Kinds != nil {
+		if len(*w.Kinds) > maxTypes {
+			return nil, malformed("kinds_of_host: too many")
+		}
+		s.Types = []string{}
+		for _, k := range *w.Kinds {
+			if k == "" || len(k) > maxName {
+				return nil, malformed("kinds_of_host: empty or too long")
+			}
+			s.Types = append(s.Types, k)
+		}
+	}
+	if w.Site != nil {
+		if s.Zone = text("site", w.Site); bad != nil {
+			return nil, bad
+		}
+	}
+	if w.Due != nil {
+		if s.Deadline = amount("due_s", w.Due); bad != nil {
+			return nil, bad
+		}
+	}
+	return s, nil
+}
+
+// ValidJobID tells whether an id has the form that users' ids always have.
+func ValidJobID(id string) bool {
+	rest, ok := strings.CutPrefix(id, "wk-")
+	if !ok || len(rest) < 1 || len(rest) > 20 {
+		return false
+	}
+	for _, c := range rest {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// Attempt names one start of one task.
+type Attempt struct {
+	Job  string
+	Task int
+	Try  int64
+}
+
+func (a Attempt) piece() string { return a.Job + "/" + strconv.Itoa(a.Task) }
+
+func parsePiece(s string) (string, int, bool) {
+	job, idx, ok := strings.Cut(s, "/")
+	if !ok {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(idx)
+	if err != nil || n < 0 || n >= maxTasks {
+		return "", 0, false
+	}
+	return job, n, true
+}
+
+// TaskReport is one task of a report.
+type TaskReport struct {
+	Attempt
+	State TaskState
+	Cause Cause
+	Saved bool
+}
+
+// Report is a worker's account of its machine.
+type Report struct {
+	Host    string
+	Addr    string
+	Type    string
+	Zone    string
+	Spot    bool
+	Session int64
+	Seq     int64
+	Token   int64
+	Notice  float64 // seconds until the machine is taken; negative: none
+	Tasks   []TaskReport
+}
+
+// Newer tells whether the report is newer than a message numbered (session, seq).
+func (r *Report) Newer(session, seq int64) bool {
+	return r.Session > session || r.Session == session && r.Seq > seq
+}
+
+type wirePiece struct {
+	Piece  string `msgpack:"piece"`
+	Try    *int64 `msgpack:"try"`
+	Status string `msgpack:"status"`
+	Cause  string `msgpack:"cause,omitempty"`
+	Kept   bool   `msgpack:"kept,omitempty"`
+}
+
+type wireReport struct {
+	Host    *string      `msgpack:"host"`
+	Address *string      `msgpack:"address"`
+	Kind    *string      `msgpack:"host_kind"`
+	Site    *string      `msgpack:"site"`
+	Loaners *bool        `msgpack:"loaners"`
+	Shift   *int64       `msgpack:"shift"`
+	Tick    *int64       `msgpack:"tick"`
+	Baton   *int64       `msgpack:"baton"`
+	Recall  *float64     `msgpack:"recall_s"`
+	Pieces  *[]wirePiece `msgpack:"pieces"`
+}
+
+// DecodeReport reads and checks a worker's report.
+func DecodeReport(body []byte) (*Report, error) {
+	if err := checkBody(body); err != nil {
+		return nil, err
+	}
+	var w wireReport
+	if err := msgpack.Unmarshal(body, &w); err != nil {
+		return nil, malformed("%v", err)
+	}
+	if w.Host == nil || *w.Host == "" || len(*w.Host) > maxName || w.Address == nil || *w.Address == "" ||
+		w.Kind == nil || w.Site == nil || w.Loaners == nil || w.Shift == nil || w.Tick == nil ||
+		w.Baton == nil || w.Pieces == nil {
+		return nil, malformed("a field is missing")
+	}
+	if *w.Shift < 0 || *w.Tick < 0 || *w.Baton < 0 {
+		return nil, malformed("a count is out of range")
+	}
+	r := &Report{
+		Host: *w.Host, Addr: *w.Address, Type: *w.Kind, Zone: *w.Site, Spot: *w.Loaners,
+		Session: *w.Shift, Seq: *w.Tick, Token: *w.Baton, Notice: -1,
+	}
+	if w.Recall != nil && !math.IsNaN(*w.Recall) {
+		r.Notice = max(0, *w.Recall)
+	}
+	r.Tasks = make([]TaskReport, 0, len(*w.Pieces))
+	for _, p := range *w.Pieces {
+		job, idx, ok := parsePiece(p.Piece)
+		state, known := stateWords[p.Status]
+		if !ok || !known || p.Try == nil {
+			return nil, malformed("pieces: %q", p.Piece)
+		}
+		r.Tasks = append(r.Tasks, TaskReport{
+			Attempt: Attempt{Job: job, Task: idx, Try: *p.Try}, State: state, Cause: causeWords[p.Cause], Saved: p.Kept,
+		})
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/protocol/messages.go
@@ -0,0 +1,236 @@
+package protocol
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Encode writes a message. The types of this package always encode.
+func Encode(v any) []byte {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("protocol: encoding %T: %v", v, err))
+	}
+	return b
+}
+
+// Decode reads an answer of the state service, the cloud or a peer.
+func Decode(b []byte, v any) error { return msgpack.Unmarshal(b, v) }
+
+// Verb is what a command tells a worker to do.
+type Verb uint8
+
+// The commands.
+const (
+	Start Verb = iota
+	Stop
+	Forget
+)
+
+// Command is one order to a worker.
+type Command struct {
+	Verb Verb
+	Attempt
+	Grace float64 // of a Stop
+}
+
+type wireCommand struct {
+	Verb     string   `msgpack:"verb"`
+	Piece    string   `msgpack:"piece"`
+	Try      int64    `msgpack:"try"`
+	WindDown *float64 `msgpack:"wind_down_s,omitempty"`
+}
+
+func wireCommands(cmds []Command) []wireCommand {
+	out := make([]wireCommand, len(cmds))
+	for i, c := range cmds {
+		w := wireCommand{Piece: c.piece(), Try: c.Try}
+		switch c.Verb {
+		case Start:
+			w.Verb = verbStart
+		case Stop:
+			w.Verb = verbStop
+			w.WindDown = &cmds[i].Grace
+		case Forget:
+			w.Verb = verbForget
+		}
+		out[i] = w
+	}
+	return out
+}
+
+// EncodeReportAnswer is the 200 to a report.
+func EncodeReportAnswer(token int64, cmds []Command) []byte {
+	return Encode(struct {
+		Baton  int64         `msgpack:"baton"`
+		Orders []wireCommand `msgpack:"orders"`
+	}{token, wireCommands(cmds)})
+}
+
+// EncodeReportTo is the 421 that sends a worker to another node.
+func EncodeReportTo(node string) []byte {
+	if node == "" {
+		return Encode(map[string]string{})
+	}
+	return Encode(map[string]string{"foreman": node})
+}
+
+// EncodeOrders is the body of direct commands to a worker.
+func EncodeOrders(token, session int64, cmds []Command) []byte {
+	return Encode(struct {
+		Baton  int64         `msgpack:"baton"`
+		Shift  int64         `msgpack:"shift"`
+		Orders []wireCommand `msgpack:"orders"`
+	}{token, session, wireCommands(cmds)})
+}
+
+// JobAnswer tells a user about a job.
+type JobAnswer struct {
+	ID      string `msgpack:"id"`
+	Status  string `msgpack:"status"`
+	Done    *int   `msgpack:"done,omitempty"`
+	Running *int   `msgpack:"running,omitempty"`
+}
+
+// EncodeError is the body of a refusal.
+func EncodeError(text string) []byte { return Encode(map[string]string{"error": text}) }
+
+// MachineType is what the cloud offers.
+type MachineType struct {
+	Name      string   `msgpack:"sku"`
+	CPUs      float64  `msgpack:"vcpus"`
+	GPUs      float64  `msgpack:"gpus"`
+	MemoryGB  float64  `msgpack:"mem_gb"`
+	CacheGB   float64  `msgpack:"local_gb"`
+	FetchRate float64  `msgpack:"fetch_gb_per_s"`
+	Price     float64  `msgpack:"price"`
+	SpotPrice float64  `msgpack:"low_price"`
+	BootS     float64  `msgpack:"boot_s"`
+	Zones     []string `msgpack:"sites"`
+}
+
+// MachineTypes is the cloud's offer.
+type MachineTypes struct {
+	Types []MachineType `msgpack:"kinds_of_host"`
+}
+
+// Rental asks the cloud for machines.
+type Rental struct {
+	Request string `msgpack:"hire"`
+	Type    string `msgpack:"host_kind"`
+	Zone    string `msgpack:"site"`
+	Spot    bool   `msgpack:"loaners"`
+	Count   int    `msgpack:"how_many"`
+}
+
+// Hosts names machines: the answer to a rental, the body of a return.
+type Hosts struct {
+	Hosts []string `msgpack:"hosts"`
+}
+
+// Machine is an entry of the cloud's list.
+type Machine struct {
+	Host   string  `msgpack:"id"`
+	Addr   string  `msgpack:"address"`
+	Type   string  `msgpack:"host_kind"`
+	Zone   string  `msgpack:"site"`
+	Spot   bool    `msgpack:"loaners"`
+	Status string  `msgpack:"status"`
+	AgeS   float64 `msgpack:"age_s"`
+}
+
+// Words of a listed machine's status.
+const (
+	MachineBooting = "booting"
+	MachineRunning = "running"
+	MachineFailed  = "failed"
+)
+
+// MachineList is one page of the cloud's list.
+type MachineList struct {
+	Machines []Machine `msgpack:"hosts"`
+	More     bool      `msgpack:"has_next"`
+}
+
+// Entry is a key of the state service.
+type Entry struct {
+	Key     string             `msgpack:"path"`
+	Value   msgpack.RawMessage `msgpack:"value"`
+	Version int64              `msgpack:"stamp"`
+	Lease   int64              `msgpack:"permit"`
+}
+
+// EntryList is an answer to a prefix read.
+type EntryList struct {
+	Entries  []Entry `msgpack:"entries"`
+	More     bool    `msgpack:"has_next"`
+	Revision int64   `msgpack:"ledger"`
+}
+
+// Condition is that a key has a version; 0 means it doesn't exist.
+type Condition struct {
+	Key     string `msgpack:"path"`
+	Version int64  `msgpack:"stamp"`
+}
+
+// Change writes a key.
+type Change struct {
+	Put   string `msgpack:"write"`
+	Value any    `msgpack:"value"`
+	Lease int64  `msgpack:"permit,omitempty"`
+}
+
+// Txn is a transaction of the state service.
+type Txn struct {
+	If   []Condition `msgpack:"if"`
+	Then []Change    `msgpack:"then,omitempty"`
+}
+
+// TxnAnswer is the outcome of a transaction.
+type TxnAnswer struct {
+	Failed   []string `msgpack:"failed"`
+	Revision int64    `msgpack:"ledger"`
+	Error    string   `msgpack:"error"`
+}
+
+// Grant is a lease of the state service.
+type Grant struct {
+	Lease int64 `msgpack:"permit"`
+}
+
+// GrantRequest asks for one.
+type GrantRequest struct {
+	TTLms int64 `msgpack:"life_ms"`
+}
+
+// RenewPath is where a lease is renewed.
+func RenewPath(lease int64) string { return fmt.Sprintf("%s/%d%s", PathGrants, lease, renewSuffix) }
+
+// LetGo is what a new leader tells its peers: terms below Term are over.
+type LetGo struct {
+	Term int64 `msgpack:"term"`
+}
+
+// LetGoAnswer says whether the node has let go of every term below.
+type LetGoAnswer struct {
+	Released bool `msgpack:"released"`
+}
+
+// SplitJobPath takes apart the path of a request about jobs: the job's id
+// (empty for the collection) and whether it asks to cancel.
+func SplitJobPath(path string) (id string, cancel, ok bool) {
+	if path == PathJobs {
+		return "", false, true
+	}
+	rest, ok := strings.CutPrefix(path, PathJobs+"/")
+	if !ok || rest == "" {
+		return "", false, false
+	}
+	rest, cancel = strings.CutSuffix(rest, abortSuffix)
+	if rest == "" || strings.Contains(rest, "/") {
+		return "", false, false
+	}
+	return rest, cancel, true
+}
--- /dev/null
+++ b/internal/transport/clients.go
@@ -0,0 +1,221 @@
+// Package transport carries messages: the users' and workers' front, the
+// streams between controllers, and the clients of workers, cloud and peers.
+package transport
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http2"
+
+	"oakpick/internal/bookkeeping"
+	"oakpick/internal/config"
+	"oakpick/internal/coordination"
+	"oakpick/internal/protocol"
+)
+
+// Workers sends direct commands to workers.
+type Workers struct {
+	client *fasthttp.Client
+	wait   time.Duration
+}
+
+// NewWorkers makes the client.
+func NewWorkers(w config.Workers) *Workers {
+	wait := config.Seconds(w.Report * 0.75)
+	return &Workers{wait: wait, client: &fasthttp.Client{
+		Dial: bookkeeping.Dial(wait * 2 / 3), MaxConnsPerHost: 2, MaxIdemponentCallAttempts: 1, RetryIfErr: bookkeeping.NoRetry,
+		MaxResponseBodySize: protocol.MaxBody, NoDefaultUserAgentHeader: true,
+		MaxIdleConnDuration: config.Seconds(w.Report * 20),
+	}}
+}
+
+// Send sends commands and waits for the worker's word.
+func (w *Workers) Send(c coordination.OrdersCall) coordination.OrdersResult {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI("http://" + c.Addr + protocol.PathOrders)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType(protocol.ContentType)
+	req.SetBody(protocol.EncodeOrders(c.Token, c.Session, c.Commands))
+	r := coordination.OrdersResult{ID: c.ID, Host: c.Host}
+	if err := w.client.DoTimeout(req, res, w.wait); err != nil {
+		r.Outcome = bookkeeping.Failure(err)
+		return r
+	}
+	switch res.StatusCode() {
+	case fasthttp.StatusOK:
+		r.Outcome = coordination.OK
+	case fasthttp.StatusConflict:
+		r.Outcome = coordination.Conflict
+	default:
+		r.Outcome = coordination.Lost
+		return r
+	}
+	report, err := protocol.DecodeReport(res.Body())
+	if err != nil {
+		if r.Outcome == coordination.OK {
+			r.Outcome = coordination.Lost
+		}
+		return r
+	}
+	r.Report = report
+	return r
+}
+
+// Cloud speaks to the cloud.
+type Cloud struct {
+	client *fasthttp.HostClient
+	wait   time.Duration
+}
+
+// NewCloud makes the client.
+func NewCloud(addr string, w config.Workers) *Cloud {
+	wait := config.Seconds(w.Report * 1.5)
+	return &Cloud{wait: wait, client: &fasthttp.HostClient{
+		Addr: addr, Dial: bookkeeping.Dial(wait / 2), MaxConns: 6, MaxIdemponentCallAttempts: 1, RetryIfErr: bookkeeping.NoRetry,
+		MaxResponseBodySize: 1 << 20, NoDefaultUserAgentHeader: true,
+	}}
+}
+
+// Do makes a call and waits for its outcome.
+func (c *Cloud) Do(call coordination.CloudCall) coordination.CloudResult {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	uri := "http://" + c.client.Addr
+	switch call.Op {
+	case coordination.CloudTypes:
+		uri += protocol.PathTypes
+	case coordination.CloudList:
+		args := fasthttp.AcquireArgs()
+		if call.After != "" {
+			args.Set("after", call.After)
+		}
+		args.Set("limit", strconv.Itoa(protocol.MaxListed))
+		uri += protocol.PathRent + "?" + args.String()
+		fasthttp.ReleaseArgs(args)
+	case coordination.CloudRent:
+		uri += protocol.PathRent
+		req.SetBody(protocol.Encode(call.Rental))
+	case coordination.CloudReturn:
+		uri += protocol.PathReturn
+		req.SetBody(protocol.Encode(protocol.Hosts{Hosts: call.Hosts}))
+	}
+	if call.Op == coordination.CloudRent || call.Op == coordination.CloudReturn {
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.Header.SetContentType(protocol.ContentType)
+	}
+	req.SetRequestURI(uri)
+	r := coordination.CloudResult{ID: call.ID}
+	if err := c.client.DoTimeout(req, res, c.wait); err != nil {
+		r.Outcome = bookkeeping.Failure(err)
+		return r
+	}
+	switch res.StatusCode() {
+	case fasthttp.StatusOK:
+	case fasthttp.StatusBadRequest:
+		r.Outcome = coordination.Invalid
+		return r
+	case fasthttp.StatusServiceUnavailable:
+		r.Outcome = coordination.Refused
+		if protocol.NoCapacity(res.Body()) {
+			r.Outcome = coordination.NotFound
+		}
+		return r
+	case fasthttp.StatusTooManyRequests:
+		r.Outcome = coordination.Refused
+		return r
+	default:
+		r.Outcome = coordination.Lost
+		return r
+	}
+	var err error
+	switch call.Op {
+	case coordination.CloudTypes:
+		var a protocol.MachineTypes
+		err = protocol.Decode(res.Body(), &a)
+		r.Types = a.Types
+	case coordination.CloudList:
+		err = protocol.Decode(res.Body(), &r.List)
+	case coordination.CloudRent:
+		var a protocol.Hosts
+		err = protocol.Decode(res.Body(), &a)
+		r.Hosts = a.Hosts
+	}
+	if err != nil {
+		r.Outcome = coordination.Lost
+	}
+	return r
+}
+
+// Peers speaks to the other controllers over HTTP/2 streams, one connection a peer.
+type Peers struct {
+	client *http.Client
+	addrs  map[string]string
+	wait   time.Duration
+}
+
+// NewPeers makes the client.
+func NewPeers(peers []config.Peer, w config.Workers) *Peers {
+	wait := config.Seconds(w.Report / 2)
+	p := &Peers{addrs: map[string]string{}, wait: wait}
+	for _, x := range peers {
+		p.addrs[x.Name] = x.Addr
+	}
+	p.client = &http.Client{Transport: &http2.Transport{
+		AllowHTTP: true,
+		DialTLSContext: func(ctx context.Context, _, addr string, _ *tls.Config) (net.Conn, error) {
+			d := net.Dialer{Timeout: wait / 2}
+			return d.DialContext(ctx, "tcp4", addr)
+		},
+		ReadIdleTimeout: wait, PingTimeout: wait / 2, DisableCompression: true,
+	}}
+	return p
+}
+
+// Forward hands a user's request to a peer and brings back its answer.
+func (p *Peers) Forward(ctx context.Context, peer, method, path string, body []byte) (coordination.Reply, bool) {
+	res, raw, err := p.call(ctx, peer, method, path, body)
+	if err != nil {
+		return coordination.Reply{}, false
+	}
+	after, _ := strconv.Atoi(res.Header.Get("Retry-After"))
+	return coordination.Reply{Status: res.StatusCode, Body: raw, RetryAfter: after}, true
+}
+
+func (p *Peers) call(ctx context.Context, peer, method, path string, body []byte) (*http.Response, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.addrs[peer]+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	res, err := p.client.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(res.Body, protocol.MaxBody))
+	return res, raw, err
+}
+
+// LetGo asks a peer to let go of older terms.
+func (p *Peers) LetGo(ctx context.Context, c coordination.PeerCall) coordination.PeerResult {
+	ctx, cancel := context.WithTimeout(ctx, p.wait)
+	defer cancel()
+	r := coordination.PeerResult{Peer: c.Peer, Term: c.Term}
+	res, raw, err := p.call(ctx, c.Peer, http.MethodPost, protocol.PathLetGo, protocol.Encode(protocol.LetGo{Term: c.Term}))
+	if err != nil || res.StatusCode != http.StatusOK {
+		return r
+	}
+	var a protocol.LetGoAnswer
+	r.Released = protocol.Decode(raw, &a) == nil && a.Released
+	return r
+}
--- /dev/null
+++ b/internal/transport/front.go
@@ -0,0 +1,211 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http2"
+
+	"oakpick/internal/coordination"
+	"oakpick/internal/protocol"
+)
+
+// Owner is the one goroutine that owns all state. Do hands it a command and
+// waits for the reply, for so long at most.
+type Owner interface {
+	Do(command any, raw Raw, wait time.Duration) coordination.Reply
+	Healthy() bool
+}
+
+// Raw is a user's request as it came, for handing it on.
+type Raw struct {
+	Method, Path string
+	Body         []byte
+	FromPeer     bool
+}
+
+// Front serves users, workers and health checks.
+type Front struct {
+	owner  Owner
+	limit  *Limit
+	server *fasthttp.Server
+}
+
+const retrySoon = 1 // seconds after which a refused request may come again
+
+// userWait leaves time for the answer's way within what users wait.
+func userWait(kind coordination.UserKind) time.Duration {
+	if kind == coordination.Poll {
+		return protocol.PollWaitS * time.Second * 3 / 4
+	}
+	return protocol.SubmitWaitS * time.Second * 3 / 4
+}
+
+// NewFront makes the front. It holds at most so many connections.
+func NewFront(owner Owner, limit *Limit, connections int, report time.Duration) *Front {
+	f := &Front{owner: owner, limit: limit}
+	f.server = &fasthttp.Server{
+		Handler: f.handle, Concurrency: connections, MaxRequestBodySize: protocol.MaxBody,
+		ReadTimeout: 0, IdleTimeout: 40 * report, WriteTimeout: 4 * report,
+		ReadBufferSize: 4096, WriteBufferSize: 4096, ReduceMemoryUsage: true,
+		NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
+		Logger: quiet{},
+		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
+			write(ctx, coordination.Reply{Status: 400, Body: protocol.EncodeError("malformed request")})
+			if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+				ctx.SetConnectionClose()
+			}
+		},
+	}
+	return f
+}
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// Serve serves a listener until it is closed.
+func (f *Front) Serve(l net.Listener) error { return f.server.Serve(l) }
+
+func write(ctx *fasthttp.RequestCtx, r coordination.Reply) {
+	ctx.SetStatusCode(r.Status)
+	ctx.SetContentType(protocol.ContentType)
+	if r.RetryAfter > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.Itoa(r.RetryAfter))
+	}
+	ctx.SetBody(r.Body)
+}
+
+func (f *Front) handle(ctx *fasthttp.RequestCtx) {
+	method, path := string(ctx.Method()), string(ctx.Path())
+	switch path {
+	case protocol.PathHealth:
+		if method != http.MethodGet {
+			write(ctx, wrongMethod)
+		} else if f.owner.Healthy() {
+			write(ctx, coordination.Reply{Status: 200, Body: healthy})
+		} else {
+			write(ctx, Busy("not ready"))
+		}
+	case protocol.PathReport:
+		if method != http.MethodPost {
+			write(ctx, wrongMethod)
+			return
+		}
+		r, err := protocol.DecodeReport(ctx.PostBody())
+		if err != nil {
+			write(ctx, coordination.Reply{Status: 400, Body: protocol.EncodeError(err.Error())})
+			return
+		}
+		write(ctx, f.owner.Do(coordination.ReportCall{Report: r}, Raw{}, protocol.SubmitWaitS*time.Second/2))
+	default:
+		write(ctx, serveUser(f.owner, f.limit, Raw{Method: method, Path: path, Body: ctx.PostBody()}))
+	}
+}
+
+var (
+	healthy     = protocol.Encode(map[string]bool{"ok": true})
+	wrongMethod = coordination.Reply{Status: 405, Body: protocol.EncodeError("wrong method")}
+	notFound    = coordination.Reply{Status: 404, Body: protocol.EncodeError("no such path")}
+)
+
+// Busy is the refusal of a request that may come again soon.
+func Busy(why string) coordination.Reply {
+	return coordination.Reply{Status: 503, Body: protocol.EncodeError(why), RetryAfter: retrySoon}
+}
+
+// serveUser answers a user's request, whether it came straight or from a peer.
+func serveUser(owner Owner, limit *Limit, raw Raw) coordination.Reply {
+	id, cancel, ok := protocol.SplitJobPath(raw.Path)
+	if !ok {
+		return notFound
+	}
+	call := coordination.UserCall{Job: id}
+	want := http.MethodPost
+	switch {
+	case id == "":
+		call.Kind = coordination.Submit
+	case cancel:
+		call.Kind = coordination.Cancel
+	default:
+		call.Kind, want = coordination.Poll, http.MethodGet
+	}
+	if raw.Method != want {
+		return wrongMethod
+	}
+	if call.Kind == coordination.Submit {
+		s, err := protocol.DecodeSubmission(raw.Body)
+		if err != nil {
+			return coordination.Reply{Status: 400, Body: protocol.EncodeError(err.Error())}
+		}
+		call.Submit, call.Job = s, s.ID
+	}
+	// A cancellation is never shed, nor is what a peer has already let in.
+	if call.Kind == coordination.Cancel || raw.FromPeer {
+		return owner.Do(call, raw, userWait(call.Kind))
+	}
+	return limit.Run(func() coordination.Reply { return owner.Do(call, raw, userWait(call.Kind)) })
+}
+
+// PeerServer serves the other controllers, and the administration API.
+type PeerServer struct {
+	owner Owner
+	limit *Limit
+	admin http.Handler
+}
+
+// NewPeerServer makes it.
+func NewPeerServer(owner Owner, limit *Limit, admin http.Handler) *PeerServer {
+	return &PeerServer{owner, limit, admin}
+}
+
+// ServeHTTP answers a request of a peer, or of an operator.
+func (s *PeerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.admin != nil && len(r.URL.Path) >= len(protocol.PathAdmin) && r.URL.Path[:len(protocol.PathAdmin)] == protocol.PathAdmin {
+		s.admin.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, protocol.MaxBody))
+	if err != nil {
+		http.Error(w, "body", http.StatusBadRequest)
+		return
+	}
+	var reply coordination.Reply
+	if r.URL.Path == protocol.PathLetGo {
+		var m protocol.LetGo
+		if protocol.Decode(body, &m) != nil {
+			http.Error(w, "body", http.StatusBadRequest)
+			return
+		}
+		reply = s.owner.Do(coordination.LetGoCall{Term: m.Term}, Raw{}, protocol.PollWaitS*time.Second)
+	} else {
+		reply = serveUser(s.owner, s.limit, Raw{Method: r.Method, Path: r.URL.Path, Body: body, FromPeer: true})
+	}
+	w.Header().Set("Content-Type", protocol.ContentType)
+	if reply.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(reply.RetryAfter))
+	}
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body) // a peer that has gone asks again
+}
+
+// Serve serves HTTP/2 in clear text, and HTTP/1.1 for operators' tools.
+func (s *PeerServer) Serve(ctx context.Context, l net.Listener, connections int, idle time.Duration) error {
+	h2 := &http2.Server{IdleTimeout: idle, MaxConcurrentStreams: uint32(connections)}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: s, Protocols: protocols, IdleTimeout: idle, ReadHeaderTimeout: idle, MaxHeaderBytes: 8 << 10}
+	if err := http2.ConfigureServer(server, h2); err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return server.Serve(l)
+}
