--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -140,7 +140,7 @@
 // withinLimit is how many more tasks the team's limit lets a job start.
 func (e *engine) withinLimit(j *job, most int) int {
 	t := j.team
-	left := need{math.Inf(1), math.Inf(1), math.Inf(1)}
+	left := need{1e12, 1e12, 1e12} // no limit
 	if t.CPUsMax > 0 {
 		left.cpus = t.CPUsMax - t.used.cpus
 	}
