Model test against strict fakes, and three failures that it found

- Preemption for a gang that could not start even then churned, and a gang stopped twice in one pass was stuck for good.

--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -263,6 +263,9 @@
 		return cmp.Or(cmp.Compare(a.SubmittedMs, b.SubmittedMs), cmp.Compare(a.ID, b.ID))
 	})
 	for _, j := range slices.Clone(e.order) {
+		if j.Cancelled {
+			e.stopAll(j) // the leader that was told may not have got to it
+		}
 		e.settle(j, nil)
 	}
 	for _, rt := range e.fleet.rentals {
@@ -660,7 +663,7 @@
 // forget it once what it means is durable.
 func (e *engine) exited(t *task, r protocol.TaskReport) {
 	j, h, a := t.job, t.host, r.Attempt
-	h.forget[a] = false
+	h.forget[a] = forgetting{token: max(t.sentToken, e.firstT-1), since: e.n.now.Mono}
 	w := bookkeeping.NewWait(func() { h.forgettable(a) })
 	now := e.n.now.Mono
 	switch r.Cause {
@@ -797,6 +800,9 @@
 // preemptTask stops a task so that it saves what it can; of a gang, every task.
 func (e *engine) preemptTask(t *task, why string) {
 	j := t.job
+	if j.tasks[t.index] != t {
+		return // gone already, with the gang that it was of
+	}
 	grace := 0.0
 	if j.saves() {
 		grace = j.SaveTime + 0.5
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -27,7 +27,7 @@
 
 	tasks  []*task
 	others []protocol.TaskReport // on the machine, but not in the books
-	forget map[protocol.Attempt]bool
+	forget map[protocol.Attempt]forgetting
 
 	call     uint64 // the direct command under way
 	callAt   time.Duration
@@ -61,7 +61,7 @@
 		return h
 	}
 	h := &host{
-		name: name, forget: map[protocol.Attempt]bool{}, failedJobs: map[string]bool{},
+		name: name, forget: map[protocol.Attempt]forgetting{}, failedJobs: map[string]bool{},
 		rentedAt: e.n.now.Mono, emptySince: e.n.now.Mono,
 	}
 	e.hosts[name] = h
@@ -75,9 +75,19 @@
 	e.byName = slices.DeleteFunc(e.byName, func(x *host) bool { return x == h })
 }
 
+// forgetting is an ended attempt that its worker still names. Once the worker
+// has forgotten it, a copy of its start could start it again: so it is told to
+// only together with a token higher than any start of the attempt went out with.
+type forgetting struct {
+	durable bool  // what its end means is committed
+	token   int64 // highest token that its start may carry
+	since   time.Duration
+}
+
 func (h *host) forgettable(a protocol.Attempt) {
-	if _, ok := h.forget[a]; ok {
-		h.forget[a] = true
+	if f, ok := h.forget[a]; ok {
+		f.durable = true
+		h.forget[a] = f
 		h.wake = true
 	}
 }
@@ -146,7 +156,7 @@
 				e.lost(t, "newer session")
 			}
 		}
-		h.doubtTok, h.forget, h.images = 0, map[protocol.Attempt]bool{}, nil
+		h.doubtTok, h.forget, h.images = 0, map[protocol.Attempt]forgetting{}, nil
 	}
 	h.addr, h.kind, h.zone, h.spot = r.Addr, r.Type, r.Zone, r.Spot
 	if !h.up {
@@ -175,7 +185,8 @@
 			if tr.State != protocol.Exited {
 				h.wake = true
 			} else if _, ok := h.forget[tr.Attempt]; !ok {
-				h.forget[tr.Attempt] = true
+				// Nothing is known of it: an earlier leader's, or long settled.
+				h.forget[tr.Attempt] = forgetting{durable: true, token: e.token, since: now}
 			}
 			continue
 		}
@@ -274,24 +285,21 @@
 			}
 		}
 	}
-	if h.doubtTok < e.token && (!direct || h.call == 0 && len(h.starts) == 0) {
-		// An attempt that is forgotten could be started again by a start still
-		// on its way with this token.
-		var names []protocol.Attempt
-		for a, ok := range h.forget {
-			if ok {
-				names = append(names, a)
-			}
-		}
-		slices.SortFunc(names, func(a, b protocol.Attempt) int {
-			return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Try, b.Try))
-		})
-		if len(h.starts) == 0 {
-			for _, a := range names {
-				out = append(out, protocol.Command{Verb: protocol.Forget, Attempt: a})
-			}
+	if len(h.starts) > 0 {
+		return out
+	}
+	var names []protocol.Attempt
+	for a, f := range h.forget {
+		if f.durable && f.token < e.token {
+			names = append(names, a)
 		}
 	}
+	slices.SortFunc(names, func(a, b protocol.Attempt) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Try, b.Try))
+	})
+	for _, a := range names {
+		out = append(out, protocol.Command{Verb: protocol.Forget, Attempt: a})
+	}
 	return out
 }
 
@@ -405,7 +413,7 @@
 				for _, t := range slices.Clone(h.tasks) {
 					e.lost(t, "lease lapsed")
 				}
-				h.doubtTok, h.others, h.forget = 0, nil, map[protocol.Attempt]bool{}
+				h.doubtTok, h.others, h.forget = 0, nil, map[protocol.Attempt]forgetting{}
 				e.schedule = true
 			}
 		}
@@ -420,6 +428,11 @@
 		if h.doubtTok == e.token && now-h.doubtAt > e.rules.report {
 			raise = true
 		}
+		for _, f := range h.forget {
+			if f.durable && f.token == e.token && now-f.since > e.rules.lease {
+				raise = true
+			}
+		}
 	}
 	if raise || e.raising != nil {
 		e.raiseToken()
--- /dev/null
+++ b/internal/coordination/model_test.go
@@ -0,0 +1,243 @@
+package coordination_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+)
+
+func job(id int, shape protocol.Shape, tasks int) protocol.Submission {
+	return protocol.Submission{
+		ID: fmt.Sprintf("wk-%06d", id), Class: "c", Team: "blue", Shape: shape, Priority: protocol.Normal, Tasks: tasks,
+		CPUs: 1, MemoryGB: 1, Image: "img", ImageGB: 1, Estimate: 5, SaveEach: 2, SaveTime: 1,
+	}
+}
+
+func check(t interface{ Fatalf(string, ...any) }, w *fake.World) {
+	if len(w.Broken) > 0 {
+		tail := w.Log[max(0, len(w.Log)-60):]
+		t.Fatalf("rules broken:\n%s\nlog:\n%s", strings.Join(w.Broken, "\n"), strings.Join(tail, "\n"))
+	}
+}
+
+// served fails unless every job that was accepted and not cancelled is served.
+func served(t interface{ Fatalf(string, ...any) }, w *fake.World) {
+	for id, j := range w.Jobs {
+		if j.Cancel || j.Broken {
+			continue
+		}
+		if !j.Accepted {
+			t.Fatalf("%s was never accepted", id)
+		}
+		if j.Sub.Shape == protocol.Service {
+			if n := w.Running(id); n != j.Sub.Tasks {
+				t.Fatalf("%s: %d of %d replicas run\n%s", id, n, j.Sub.Tasks, strings.Join(w.Log[max(0, len(w.Log)-60):], "\n"))
+			}
+		} else if j.Told != protocol.StatusDone {
+			t.Fatalf("%s is not done but %q, %d of %d tasks: %+v\n%s", id, j.Told, len(j.DoneTasks), j.Sub.Tasks, j.Sub, strings.Join(w.Log[max(0, len(w.Log)-60):], "\n"))
+		}
+	}
+}
+
+// TestRulesHoldUnderAnyOrdering draws days: jobs of all shapes, and crashes,
+// cuts, outages, hangs, losses, late and repeated messages in any order. The
+// rules hold throughout, and once the troubles are over everything is served.
+func TestRulesHoldUnderAnyOrdering(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := fake.NewWorld(fake.Settings())
+		cut := map[string]bool{}      // from>to: nothing arrives
+		deaf := map[string]bool{}     // hosts that get no answers and no commands
+		loss, late, copies := 0, 0, 0 // in hundredths
+		w.Network = func(kind, from, to string) fake.Fate {
+			f := fake.Well()
+			if cut[from+">"+to] {
+				f.LoseRequest = true
+				if late > 50 { // held, and delivered when the cut ends
+					f.LoseRequest, f.Request = false, 20*time.Second
+				}
+				return f
+			}
+			draw := func(what string, share int) bool {
+				return share > 0 && rapid.IntRange(0, 99).Draw(t, what) < share
+			}
+			if deaf[to] && kind == "orders" || deaf[from] && kind == "report" {
+				if kind == "orders" {
+					f.LoseRequest = true
+				}
+				f.LoseAnswer = true
+				return f
+			}
+			f.LoseRequest = draw("lose request", loss)
+			f.LoseAnswer = draw("lose answer", loss)
+			if draw("late", late) {
+				f.Request = time.Duration(rapid.IntRange(1, 40).Draw(t, "late by")) * time.Second
+			}
+			if draw("copy", copies) {
+				f.Copy = time.Duration(rapid.IntRange(1, 40).Draw(t, "copied after")) * time.Second
+			}
+			return f
+		}
+		jobs := 0
+		submit := func() {
+			if jobs >= 8 {
+				return
+			}
+			jobs++
+			s := job(jobs, protocol.Shape(rapid.IntRange(0, 2).Draw(t, "shape")), rapid.IntRange(1, 4).Draw(t, "tasks"))
+			s.Priority = protocol.Priority(rapid.IntRange(0, 3).Draw(t, "priority"))
+			s.Team = rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team")
+			s.Spot = rapid.Bool().Draw(t, "spot")
+			s.CPUs = float64(rapid.IntRange(1, 3).Draw(t, "cpus"))
+			switch rapid.IntRange(0, 5).Draw(t, "zones") {
+			case 0:
+				s.OneZone = true
+			case 1:
+				s.Spread = true
+			case 2:
+				s.Zone = "a"
+			}
+			s.Image = rapid.SampledFrom([]string{"x", "y"}).Draw(t, "image")
+			if s.Shape == protocol.Service {
+				s.SaveEach = 0
+			}
+			j := w.Submit(s, time.Duration(rapid.IntRange(1, 15).Draw(t, "run"))*time.Second)
+			j.Broken = rapid.IntRange(0, 19).Draw(t, "broken") == 0
+		}
+		pick := func() (*fake.Worker, string) {
+			names := w.Names()
+			if len(names) == 0 {
+				return nil, ""
+			}
+			n := rapid.SampledFrom(names).Draw(t, "host")
+			return w.Workers[n], n
+		}
+		node := func() *fake.Node { return w.Nodes[rapid.IntRange(0, 2).Draw(t, "node")] }
+		submit()
+		submit()
+		for range rapid.IntRange(4, 14).Draw(t, "actions") {
+			switch rapid.SampledFrom([]string{
+				"submit", "submit", "cancel", "crash", "crash all", "state down", "state cut", "isolate", "cut host", "deaf",
+				"hang", "pause", "notice", "die", "cloud", "noise", "sick", "again", "zone",
+			}).Draw(t, "action") {
+			case "submit":
+				submit()
+			case "cancel":
+				if j := w.Jobs[fmt.Sprintf("wk-%06d", rapid.IntRange(1, jobs).Draw(t, "job"))]; j != nil && !j.Cancel && j.Accepted {
+					w.CancelJob(j)
+				}
+			case "again":
+				if j := w.Jobs[fmt.Sprintf("wk-%06d", rapid.IntRange(1, jobs).Draw(t, "job"))]; j != nil && j.Accepted {
+					w.Again(j)
+				}
+			case "crash":
+				if n := node(); n.Up {
+					n.Crash()
+					w.After(time.Duration(rapid.IntRange(0, 8000).Draw(t, "for"))*time.Millisecond, n.Start)
+				}
+			case "crash all":
+				for _, n := range w.Nodes {
+					if n.Up {
+						n.Crash()
+						w.After(time.Duration(rapid.IntRange(0, 8000).Draw(t, "for"))*time.Millisecond, n.Start)
+					}
+				}
+			case "state down":
+				w.State.Outage(true)
+				w.After(time.Duration(rapid.IntRange(1, 40).Draw(t, "for"))*time.Second, func() { w.State.Outage(false) })
+			case "state cut":
+				n := node()
+				w.State.Cut[n.Name] = true
+				w.After(time.Duration(rapid.IntRange(1, 40).Draw(t, "for"))*time.Second, func() { w.State.Cut[n.Name] = false })
+			case "isolate": // only its workers are left to it
+				n := node()
+				ends := []string{"state", "cloud", "n0", "n1", "n2"}
+				for _, e := range ends {
+					cut[n.Name+">"+e], cut[e+">"+n.Name] = true, true
+				}
+				w.After(time.Duration(rapid.IntRange(1, 60).Draw(t, "for"))*time.Second, func() {
+					for _, e := range ends {
+						delete(cut, n.Name+">"+e)
+						delete(cut, e+">"+n.Name)
+					}
+				})
+			case "cut host":
+				_, h := pick()
+				for _, n := range w.Nodes {
+					cut[n.Name+">"+h], cut[h+">"+n.Name] = true, true
+				}
+				w.After(time.Duration(rapid.IntRange(1, 40).Draw(t, "for"))*time.Second, func() {
+					for _, n := range w.Nodes {
+						delete(cut, n.Name+">"+h)
+						delete(cut, h+">"+n.Name)
+					}
+				})
+			case "zone": // a node and a machine are left to themselves
+				n := node()
+				_, h := pick()
+				for _, o := range w.Nodes {
+					if o != n {
+						cut[o.Name+">"+h], cut[h+">"+o.Name] = true, true
+						cut[o.Name+">"+n.Name], cut[n.Name+">"+o.Name] = true, true
+					}
+				}
+				cut[n.Name+">state"], cut[n.Name+">cloud"] = true, true
+				w.After(time.Duration(rapid.IntRange(1, 60).Draw(t, "for"))*time.Second, func() { clear(cut) })
+			case "deaf":
+				_, h := pick()
+				deaf[h] = true
+				w.After(time.Duration(rapid.IntRange(1, 40).Draw(t, "for"))*time.Second, func() { delete(deaf, h) })
+			case "hang":
+				if k, _ := pick(); k != nil {
+					k.HangUntil = w.Now + time.Duration(rapid.IntRange(1, 30).Draw(t, "for"))*time.Second
+				}
+			case "pause":
+				node().PausedUntil = w.Now + time.Duration(rapid.IntRange(100, 6000).Draw(t, "for"))*time.Millisecond
+			case "notice":
+				_, h := pick()
+				w.Notice(h, time.Duration(rapid.IntRange(1, 15).Draw(t, "in"))*time.Second)
+			case "die":
+				if _, h := pick(); h != "" {
+					w.Cloud.Die(h)
+				}
+			case "cloud":
+				w.Cloud.Down = true
+				w.After(time.Duration(rapid.IntRange(1, 30).Draw(t, "for"))*time.Second, func() { w.Cloud.Down = false })
+			case "sick":
+				if k, _ := pick(); k != nil {
+					k.Sick = true
+					w.After(30*time.Second, func() { k.Sick = false })
+				}
+			case "noise":
+				loss, late, copies = rapid.IntRange(0, 20).Draw(t, "loss"), rapid.IntRange(0, 10).Draw(t, "late"), rapid.IntRange(0, 20).Draw(t, "copies")
+			}
+			for range rapid.IntRange(1, 6).Draw(t, "polls") {
+				w.Run(time.Duration(rapid.IntRange(100, 4000).Draw(t, "run")) * time.Millisecond)
+				w.PollAll()
+			}
+			check(t, w)
+		}
+		loss, late, copies = 0, 0, 0
+		w.Run(65 * time.Second) // the longest trouble is over
+		for i := range jobs {
+			j := w.Jobs[fmt.Sprintf("wk-%06d", i+1)]
+			// What never ends is cancelled where it can keep others from running:
+			// jobs that always fail, and services of the team with a limit.
+			if !j.Cancel && j.Accepted && (j.Broken || j.Sub.Team == "red" && j.Sub.Shape == protocol.Service) {
+				w.CancelJob(j)
+			}
+		}
+		for range 40 {
+			w.Run(6 * time.Second)
+			w.PollAll()
+		}
+		w.Run(time.Second)
+		check(t, w)
+		served(t, w)
+	})
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -301,36 +301,58 @@
 
 // mayPreempt tells whether a task may be stopped for a job.
 func mayPreempt(j *job, v *task) bool {
-	if v.job == j || v.job.Cancelled {
+	if v.job == j || v.job.Cancelled || len(j.failedOn) >= 3 {
 		return false
 	}
 	return v.job.Priority < j.Priority || j.within && !v.job.within && v.job.team != j.team
 }
 
 // makeRoom frees room for the tasks of a job that found none. Room that is
-// about to come free is set aside for it first.
+// about to come free is set aside for it first. Nothing is stopped for a gang
+// that could not start even then.
 func (e *engine) makeRoom(j *job, count int, use map[string]int) {
-	for range count {
-		h := e.comingRoom(j, use)
+	taken := map[*task]bool{}
+	var victims []*task
+	saved := map[*host]need{}
+	for n := range count {
+		h := e.comingRoom(j, use, taken)
 		if h == nil {
-			if h = e.preemptFor(j, use); h == nil {
-				return
+			var more []*task
+			if h, more = e.preemptFor(j, use, taken); h == nil {
+				if j.Shape == protocol.Gang && n < count {
+					for x, v := range saved {
+						x.virtual = v
+					}
+					return
+				}
+				break
 			}
+			for _, t := range more {
+				taken[t] = true
+			}
+			victims = append(victims, more...)
+		}
+		if _, ok := saved[h]; !ok {
+			saved[h] = h.virtual
 		}
 		h.virtual = h.virtual.minus(j.need)
 		use[h.zone]++
 	}
+	for _, t := range victims {
+		e.n.Stats.Preempted++
+		e.preemptTask(t, "preempted for "+j.ID)
+	}
 }
 
 // comingRoom finds a machine whose stopping tasks will leave room for a task.
-func (e *engine) comingRoom(j *job, use map[string]int) *host {
+func (e *engine) comingRoom(j *job, use map[string]int, taken map[*task]bool) *host {
 	for _, h := range e.byName {
 		if !e.alive(h) || !j.allowed(h.kind, h.zone, h.spot) || !j.zoneOK(h.zone, use) {
 			continue
 		}
 		room := h.virtual
 		for _, t := range h.tasks {
-			if t.stopping {
+			if t.stopping || taken[t] {
 				room = room.plus(t.job.need)
 			}
 		}
@@ -341,9 +363,9 @@
 	return nil
 }
 
-// preemptFor stops the tasks whose loss costs least, on one machine, so that a
-// task of the job fits there.
-func (e *engine) preemptFor(j *job, use map[string]int) *host {
+// preemptFor finds the tasks whose loss costs least, on one machine, so that a
+// task of the job fits there without them.
+func (e *engine) preemptFor(j *job, use map[string]int, taken map[*task]bool) (*host, []*task) {
 	var best *host
 	var victims []*task
 	bestCost := math.Inf(1)
@@ -354,7 +376,7 @@
 		room := h.virtual
 		var may []*task
 		for _, t := range h.tasks {
-			if t.stopping {
+			if t.stopping || taken[t] {
 				room = room.plus(t.job.need)
 			} else if mayPreempt(j, t) {
 				may = append(may, t)
@@ -362,7 +384,7 @@
 		}
 		slices.SortStableFunc(may, func(a, b *task) int { return cmp.Compare(e.lossOf(a), e.lossOf(b)) })
 		var take []*task
-		cost := 0.0
+		cost := h.fetchTime(e, j)
 		for _, t := range may {
 			if j.need.fits(room) {
 				break
@@ -371,19 +393,14 @@
 			take = append(take, t)
 			cost += e.lossOf(t)
 		}
-		cost += h.fetchTime(e, j)
 		if j.need.fits(room) && len(take) > 0 && cost < bestCost {
 			best, victims, bestCost = h, take, cost
 		}
 	}
-	if best == nil || bestCost > e.opt.PreemptMost {
-		return nil
+	if bestCost > e.opt.PreemptMost {
+		return nil, nil
 	}
-	for _, t := range victims {
-		e.n.Stats.Preempted++
-		e.preemptTask(t, "preempted for "+j.ID)
-	}
-	return best
+	return best, victims
 }
 
 // lossOf is what stopping a task costs, in seconds of work.
--- /dev/null
+++ b/internal/fake/cloud.go
@@ -0,0 +1,132 @@
+package fake
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"oakpick/internal/coordination"
+	"oakpick/internal/protocol"
+)
+
+type machine struct {
+	protocol.Machine
+	rented time.Duration
+	gone   bool
+}
+
+// Cloud rents machines.
+type Cloud struct {
+	w        *World
+	types    []protocol.MachineType
+	machines []*machine
+	requests map[string][]string
+	next     int
+	Down     bool
+	// Most is how many machines there are of each kind and place.
+	Most int
+	// Late delays boots; Never keeps the next machines from coming up.
+	Late  time.Duration
+	Never int
+}
+
+func (c *Cloud) execute(call coordination.CloudCall) coordination.CloudResult {
+	r := coordination.CloudResult{ID: call.ID}
+	if c.Down {
+		r.Outcome = coordination.Refused
+		return r
+	}
+	switch call.Op {
+	case coordination.CloudTypes:
+		r.Types = c.types
+	case coordination.CloudList:
+		for _, m := range c.machines {
+			// The list lags: it shows what was so a while ago.
+			lag := time.Duration(c.w.Cfg.Settings.Cloud.ListLag * float64(time.Second))
+			if m.gone || m.rented+lag > c.w.Now {
+				continue
+			}
+			e := m.Machine
+			e.AgeS = (c.w.Now - m.rented).Seconds()
+			r.List.Machines = append(r.List.Machines, e)
+		}
+	case coordination.CloudRent:
+		q := call.Rental
+		if q.Count < 1 || q.Count > 50 {
+			c.w.fail("cloud", "a rental of %d", q.Count)
+		}
+		if names, ok := c.requests[q.Request]; ok {
+			r.Hosts = names
+			return r
+		}
+		have := 0
+		for _, m := range c.machines {
+			if !m.gone && m.Type == q.Type && m.Zone == q.Zone && m.Spot == q.Spot {
+				have++
+			}
+		}
+		n := min(q.Count, c.Most-have)
+		if n <= 0 {
+			r.Outcome = coordination.NotFound
+			return r
+		}
+		for range n {
+			r.Hosts = append(r.Hosts, c.Add(q.Type, q.Zone, q.Spot).Host)
+		}
+		c.requests[q.Request] = r.Hosts
+	case coordination.CloudReturn:
+		if len(call.Hosts) > 100 {
+			c.w.fail("cloud", "%d machines returned at once", len(call.Hosts))
+		}
+		for _, name := range call.Hosts {
+			c.Take(name)
+		}
+	}
+	return r
+}
+
+// Add makes a machine, which boots and starts to report.
+func (c *Cloud) Add(kind, zone string, spot bool) *machine {
+	c.next++
+	m := &machine{rented: c.w.Now, Machine: protocol.Machine{
+		Host: fmt.Sprintf("i-%06d", c.next), Addr: fmt.Sprintf("10.1.0.%d:9000", c.next), Type: kind, Zone: zone, Spot: spot, Status: protocol.MachineBooting,
+	}}
+	c.machines = append(c.machines, m)
+	if c.Never > 0 {
+		c.Never--
+		return m
+	}
+	i := slices.IndexFunc(c.types, func(t protocol.MachineType) bool { return t.Name == kind })
+	boot := time.Duration(c.types[i].BootS*float64(time.Second)) + c.Late
+	c.w.After(boot, func() {
+		if !m.gone {
+			m.Status = protocol.MachineRunning
+			c.w.addWorker(m, c.types[i])
+		}
+	})
+	return m
+}
+
+// Take takes a machine and all that is on it.
+func (c *Cloud) Take(name string) {
+	for _, m := range c.machines {
+		if m.Host == name && !m.gone {
+			m.gone = true
+			if wk := c.w.Workers[name]; wk != nil {
+				wk.vanish()
+			}
+		}
+	}
+}
+
+// Die stops a machine; the list shows it as failed half a minute later.
+func (c *Cloud) Die(name string) {
+	if wk := c.w.Workers[name]; wk != nil {
+		wk.vanish()
+	}
+	for _, m := range c.machines {
+		if m.Host == name {
+			c.w.After(30*time.Second, func() { m.Status = protocol.MachineFailed })
+		}
+	}
+}
