--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -182,6 +182,7 @@
 	schedule bool // something changed that may let a task start
 	fleet    fleet
 	classes  map[string]*class
+	within   map[string]float64 // seconds within which a class's tasks should start
 }
 
 func newEngine(n *Node, entries []protocol.Entry) (*engine, error) {
@@ -189,7 +190,12 @@
 	e := &engine{
 		n: n, rules: n.rules, opt: DefaultOptions(n.cfg), token: n.term.own, firstT: n.term.own, ledAt: n.now.Mono,
 		jobs: map[string]*job{}, finals: map[string]*final{}, teams: map[string]*team{}, hosts: map[string]*host{},
-		gone: map[string]time.Duration{}, schedule: true, classes: map[string]*class{},
+		gone: map[string]time.Duration{}, schedule: true, classes: map[string]*class{}, within: map[string]float64{},
+	}
+	for _, o := range s.Objectives {
+		if o.Kind == "wait" {
+			e.within[o.Class] = o.Within
+		}
 	}
 	for _, t := range s.Teams {
 		e.teams[t.Name] = &team{Team: t}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -180,33 +180,40 @@
 	return best
 }
 
-// cost ranks machines for a task: the seconds until its image is there, and
-// how much it leaves unused.
+// cost ranks machines for a task. Packing comes first, since a machine that
+// empties can be given back; the image's fetch counts for little, unless it
+// would make the start late by its class's aim.
 func (e *engine) cost(j *job, h *host) float64 {
 	mt := e.fleet.kind(h.kind)
-	c := h.fetchTime(e, j)
+	fetch := h.fetchTime(e, j)
+	c := 0.3 * fetch
+	if within := e.within[j.Class]; within > 0 {
+		waited := float64(e.n.now.WallMs-j.SubmittedMs) / 1000
+		if left := within - waited; left > 0 && fetch > 0.9*left-0.5 {
+			c += 40
+		}
+	}
 	left := h.virtual.minus(j.need)
-	total := need{mt.CPUs, mt.GPUs, mt.MemoryGB}
+	total := size(mt)
 	share := 0.0
 	if total.gpus > 0 {
 		share = left.gpus / total.gpus
 		if j.need.gpus == 0 {
 			// Not to strand the GPUs: enough of the rest has to stay with them.
-			per := total.cpus / total.gpus * 0.75
-			c += 3
-			if left.cpus < left.gpus*per {
+			if left.cpus < left.gpus*total.cpus/total.gpus*0.75 {
 				c += 60
 			}
+			share = left.cpus / total.cpus
 		}
 	} else {
 		share = left.cpus / total.cpus
 	}
-	c += 5 * share
+	c += 25 * share
 	if j.Spot && !h.spot {
 		c += 10 // ordinary machines are for those that can use nothing else
 	}
 	if len(h.tasks) == 0 {
-		c += 5 // an empty machine can be given back
+		c += 15 // an empty machine can be given back
 	}
 	return c
 }
