--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -374,15 +374,13 @@
 func (e *engine) warmTasks(c *class) int {
 	now := e.n.now.Mono
 	window := e.rules.lease * 10
-	// What comes at once when a leader begins is a backlog, not a rate.
-	from := max(now-window, e.ledAt+2*e.rules.lease)
 	n := 0
 	for _, at := range c.arrivals {
-		if at > from {
+		if now-at < window {
 			n++
 		}
 	}
-	span := max(now-from, 2*e.rules.lease)
+	span := min(window, max(now-e.ledAt, e.rules.lease))
 	boot := 0.0
 	for _, mt := range e.fleet.types {
 		if c.need.fits(size(&mt)) {
