--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -27,7 +27,7 @@
 // DefaultOptions derives them from the settings.
 func DefaultOptions(cfg *config.Config) Options {
 	return Options{
-		WriteShare: 0.5, Sample: 64, IdleS: cfg.Settings.Workers.Lease, WarmZ: 2,
+		WriteShare: 0.5, Sample: 64, IdleS: 4 * cfg.Settings.Workers.Lease, WarmZ: 2,
 		PreemptMost: 600, GiveUpBoots: 4,
 	}
 }
