--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -285,9 +285,28 @@
 	h     *host
 	offer offer
 	room  need
+	ready time.Duration // until it is up
 	used  bool
 }
 
+// sooner tells whether a task that would wait for a booting machine is better
+// served by a new one of another kind, which is up before it and costs no more
+// for each task.
+func (e *engine) sooner(j *job, b *bin, o offer) bool {
+	mt, bt := e.fleet.kind(o.kind), e.fleet.kind(b.offer.kind)
+	if b.ready == 0 || mt == nil || bt == nil || o.kind == b.offer.kind {
+		return false
+	}
+	per := func(mt *protocol.MachineType, spot bool) float64 {
+		price := mt.Price
+		if spot {
+			price = mt.SpotPrice
+		}
+		return price / float64(max(1, j.need.count(size(mt), 1<<20)))
+	}
+	return config.Seconds(mt.BootS) < b.ready && per(mt, o.spot) <= per(bt, b.offer.spot)
+}
+
 // plan packs what waits, and the room to be kept, into what is free, coming,
 // and has to be rented. It gives the machines that the plan needs.
 func (e *engine) plan() map[*host]bool {
@@ -302,30 +321,32 @@
 		case e.alive(h):
 			bins = append(bins, &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: e.free(h)})
 		case e.coming(h):
-			bins = append(bins, &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: size(mt)})
+			boot := max(config.Seconds(mt.BootS)-(e.n.now.Mono-h.rentedAt), config.Seconds(mt.BootS/10))
+			bins = append(bins, &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: size(mt), ready: boot})
 		}
 	}
 	for _, r := range f.rentals {
 		if mt := f.kind(r.Type); mt != nil && !r.Answered {
 			for range r.Count {
-				bins = append(bins, &bin{offer: offer{r.Type, r.Zone, r.Spot}, room: size(mt)})
+				bins = append(bins, &bin{offer: offer{r.Type, r.Zone, r.Spot}, room: size(mt), ready: config.Seconds(mt.BootS)})
 			}
 		}
 	}
 	firstNew := len(bins)
 	want := func(j *job, n int, use map[string]int) {
 		for range n {
-			if b := pack(bins, j, use); b != nil {
+			b := pack(bins, j, use)
+			o, ok := e.cheapest(j, use, n)
+			if b != nil && !(ok && e.sooner(j, b, o)) {
 				b.room = b.room.minus(j.need)
 				b.used = true
 				use[b.offer.zone]++
 				continue
 			}
-			o, ok := e.cheapest(j, use, n)
 			if !ok {
 				return
 			}
-			b := &bin{offer: o, room: size(f.kind(o.kind)).minus(j.need), used: true}
+			b = &bin{offer: o, ready: config.Seconds(f.kind(o.kind).BootS), room: size(f.kind(o.kind)).minus(j.need), used: true}
 			bins = append(bins, b)
 			use[o.zone]++
 		}
