--- /dev/null
+++ b/internal/bookkeeping/book_test.go
@@ -0,0 +1,154 @@
+package bookkeeping
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"oakpick/internal/protocol"
+)
+
+type thing struct {
+	name string
+	size int
+}
+
+func (x *thing) Emit(v *PageValue) {
+	v.Finals = append(v.Finals, FinalRecord{ID: x.name})
+}
+func (x *thing) Reserve() int { return x.size }
+
+var term = protocol.Condition{Key: "leader", Version: 7}
+
+func newBook() *Book { return NewBook(1, 2, 10, "t", 100*time.Millisecond) }
+
+// Nothing is acknowledged before the write that carries it is committed, and
+// what comes meanwhile goes into the next one.
+func TestWaitsRunOnCommitOnly(t *testing.T) {
+	b := newBook()
+	var done []string
+	note := func(s string) *Wait { return NewWait(func() { done = append(done, s) }) }
+	x, y := &thing{"x", 50}, &thing{"y", 50}
+	b.Touch(0, x, note("x"))
+	txn := b.Next(0, term)
+	if txn == nil || len(txn.Then) != 1 || txn.If[0] != term {
+		t.Fatalf("got %+v", txn)
+	}
+	b.Touch(0, y, note("y"))
+	if b.Next(0, term) != nil {
+		t.Fatal("two writes at once")
+	}
+	if len(done) != 0 {
+		t.Fatalf("%v acknowledged before the commit", done)
+	}
+	b.Landed(9)
+	if fmt.Sprint(done) != "[x]" {
+		t.Fatalf("acknowledged %v", done)
+	}
+	txn = b.Next(0, term)
+	if txn == nil || txn.If[1].Version != 9 || len(txn.Then[0].Value.(*PageValue).Finals) != 2 {
+		t.Fatalf("got %+v", txn)
+	}
+}
+
+// A retry carries what the first try carried, under the same id: its copy may
+// still land, and must then be the same write.
+func TestRetryNeverChanges(t *testing.T) {
+	b := newBook()
+	x, y := &thing{"x", 50}, &thing{"y", 50}
+	b.Touch(0, x, nil)
+	first := fmt.Sprintf("%+v", protocol.Encode(*b.Next(0, term)))
+	b.Touch(0, y, nil)
+	b.Again(0)
+	if b.Next(50*time.Millisecond, term) != nil {
+		t.Fatal("sent again at once")
+	}
+	again := b.Next(time.Second, term)
+	if again == nil || fmt.Sprintf("%+v", protocol.Encode(*again)) != first {
+		t.Fatal("the retry differs")
+	}
+}
+
+// A page that is in flight and changed again waits for the next write's commit.
+func TestOneWaitForSeveralPages(t *testing.T) {
+	b := newBook()
+	n := 0
+	w := NewWait(func() { n++ })
+	b.Touch(0, &thing{"x", 800}, w)
+	b.Touch(0, &thing{"y", 800}, w)
+	b.Touch(0, &thing{"z", 800}, w) // three pages, two changes a transaction
+	for i := range 3 {
+		if txn := b.Next(time.Duration(i)*time.Second, term); txn != nil {
+			b.Landed(int64(i + 1))
+		}
+		if i == 0 && n != 0 {
+			t.Fatal("ran after the first of two writes")
+		}
+	}
+	if n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+func TestBudgetCountsKeys(t *testing.T) {
+	b := newBook() // ten keys a second, ten at once
+	written := 0
+	for i := range 100 {
+		b.Touch(0, &thing{fmt.Sprint(i), 800}, nil)
+	}
+	for i := range 300 { // three seconds
+		if txn := b.Next(time.Duration(i)*10*time.Millisecond, term); txn != nil {
+			written += len(txn.Then)
+			b.Landed(int64(i))
+		}
+	}
+	if written < 35 || written > 41 {
+		t.Fatalf("%d keys in three seconds", written)
+	}
+}
+
+// What is reserved for a record is never less than the record takes, whatever
+// its names, so that a page never outgrows its limit.
+func TestReserveIsEnough(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.StringN(0, 20, 40)
+		s := protocol.Submission{
+			ID: "wk-" + fmt.Sprint(rapid.Uint64().Draw(t, "id")), Class: name.Draw(t, "class"), Team: name.Draw(t, "team"), Image: name.Draw(t, "image"),
+			Zone: name.Draw(t, "zone"), Types: rapid.SliceOfN(name, 0, 4).Draw(t, "types"), Tasks: rapid.IntRange(1, 100000).Draw(t, "tasks"),
+			CPUs: rapid.Float64Range(0, 1e9).Draw(t, "cpus"), MemoryGB: rapid.Float64Range(0, 1e9).Draw(t, "mem"), Estimate: 1.0 / 3,
+		}
+		r := NewJobRecord(&s, 1<<52)
+		blocks := s.Tasks / 56
+		full := Bits{}
+		full.Set(blocks)
+		r.Full, r.Try = full.Text(), 1<<60
+		v := PageValue{ID: "123456789-123456789", Jobs: []JobRecord{r}}
+		want := pageSize + r.Reserve(blocks)
+		n := rapid.IntRange(1, 64).Draw(t, "block")
+		br := BlockRecord{Job: s.ID, Block: 1000, Try: 1 << 60, Done: strings.Repeat("f", n/4+2)}
+		for i := range n {
+			br.Starts = append(br.Starts, StartRecord{Task: i, Try: 99999, Host: "i-000000000000001", Session: 99999})
+		}
+		v.Blocks = append(v.Blocks, br)
+		want += BlockReserve(s.ID, n)
+		f := FinalRecord{ID: s.ID, Cancelled: true, Tasks: 100000}
+		v.Finals = append(v.Finals, f)
+		want += f.Reserve()
+		// As the state service counts it: what is on the wire, in JSON.
+		var wire any
+		if err := protocol.Decode(protocol.Encode(v), &wire); err != nil {
+			t.Fatal(err)
+		}
+		text, err := json.Marshal(wire)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(text) > want {
+			t.Fatalf("%d bytes reserved, %d taken", want, len(text))
+		}
+	})
+}
--- a/internal/bookkeeping/facts.go
+++ b/internal/bookkeeping/facts.go
@@ -99,6 +99,7 @@
 	Blocks  []BlockRecord  `msgpack:"b,omitempty"`
 	Finals  []FinalRecord  `msgpack:"f,omitempty"`
 	Rentals []RentalRecord `msgpack:"r,omitempty"`
+	Options string         `msgpack:"o,omitempty"` // what operators have changed, as JSON
 }
 
 // NewJobRecord describes a submission.
@@ -118,6 +119,9 @@
 	hostSize   = 40 // a machine's name
 	startSize  = 3*12 + hostSize + 6
 	pageSize   = 128 // the page's own braces, names and write id
+
+	// OptionsReserve is the space of the operators' settings, quotes escaped.
+	OptionsReserve = 512
 )
 
 func textSize(s string) int {
--- /dev/null
+++ b/internal/coordination/admin.go
@@ -0,0 +1,266 @@
+package coordination
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/go-playground/validator/v10"
+
+	"oakpick/internal/bookkeeping"
+	"oakpick/internal/config"
+)
+
+// Options are the figures that operators may change while it runs.
+type Options struct {
+	WriteShare   float64 `json:"write_share" validate:"gte=0.05,lte=0.95"`
+	Sample       int     `json:"sample" validate:"gte=1,lte=1000"`
+	IdleS        float64 `json:"idle_s" validate:"gte=0,lte=86400"`
+	WarmRoom     float64 `json:"warm_room" validate:"gte=0,lte=20"`
+	PreemptMostS float64 `json:"preempt_most_s" validate:"gte=0,lte=1000000"`
+	GiveUpBoots  float64 `json:"give_up_boots" validate:"gte=1.5,lte=1000"`
+	TakeoverS    float64 `json:"takeover_wait_s" validate:"gte=0,lte=3600"`
+}
+
+// DefaultOptions derives them from the settings.
+func DefaultOptions(cfg *config.Config) Options {
+	w := cfg.Settings.Workers
+	return Options{
+		WriteShare: 0.5, Sample: 64, IdleS: 4 * w.Lease, WarmRoom: 2,
+		PreemptMostS: 50 * w.Lease, GiveUpBoots: 4, TakeoverS: 1.5 * w.Report,
+	}
+}
+
+var optionRules = sync.OnceValue(func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("json") })
+	return v
+})
+
+// With changes the figures that a JSON object names, and checks them.
+func (o Options) With(patch []byte) (Options, error) {
+	d := json.NewDecoder(bytes.NewReader(patch))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&o); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return o, fmt.Errorf("%s: a %s where a %s belongs", te.Field, te.Value, te.Type)
+		}
+		return o, fmt.Errorf("not a JSON object of settings: %w", err)
+	}
+	var fields validator.ValidationErrors
+	if err := optionRules().Struct(o); errors.As(err, &fields) {
+		var all []string
+		for _, f := range fields {
+			all = append(all, fmt.Sprintf("%s: out of range (%s %s)", f.Field(), f.Tag(), f.Param()))
+		}
+		return o, errors.New(strings.Join(all, "; "))
+	}
+	return o, nil
+}
+
+// AdminKind is what an operator asks.
+type AdminKind uint8
+
+// What operators ask.
+const (
+	AdminStatus AdminKind = iota
+	AdminRead
+	AdminChange
+)
+
+// AdminCall is a request of an operator; its body and its answer are JSON.
+type AdminCall struct {
+	ID   uint64
+	Kind AdminKind
+	Body []byte
+}
+
+// optionsItem keeps what operators have changed, as facts are kept.
+type optionsItem struct{ text string }
+
+// Emit writes it.
+func (o *optionsItem) Emit(v *bookkeeping.PageValue) { v.Options = o.text }
+
+// Reserve leaves room for every figure to be changed.
+func (o *optionsItem) Reserve() int { return bookkeeping.OptionsReserve }
+
+func (n *Node) admin(c AdminCall) {
+	switch {
+	case c.Kind == AdminStatus:
+		n.emit(Reply{ID: c.ID, Status: 200, Body: asJSON(n.status())})
+	case n.engine != nil && n.certain():
+		n.engine.admin(c)
+	case n.engine == nil && n.term.leader != "" && n.term.leader != n.cfg.Node:
+		n.emit(Forward{ID: c.ID, Peer: n.term.leader})
+	default:
+		n.emit(Reply{ID: c.ID, Status: 503, Body: asJSON(map[string]string{"error": "no leader"}), RetryAfter: 1})
+	}
+}
+
+func asJSON(v any) []byte {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		panic(err) // the types here always encode
+	}
+	return append(b, '\n')
+}
+
+func (e *engine) admin(c AdminCall) {
+	if c.Kind == AdminRead {
+		e.reply(c.ID, 200, asJSON(e.opt))
+		return
+	}
+	opt, err := e.opt.With(c.Body)
+	if err != nil {
+		e.reply(c.ID, 400, asJSON(map[string]string{"error": err.Error()}))
+		return
+	}
+	text, err := json.Marshal(opt)
+	if err != nil {
+		e.reply(c.ID, 400, asJSON(map[string]string{"error": err.Error()}))
+		return
+	}
+	if e.optItem == nil {
+		e.optItem = &optionsItem{}
+	}
+	e.optItem.text = string(text)
+	e.use(opt)
+	e.n.log(Info, "settings changed", "settings", string(text))
+	e.book.Touch(e.n.now.Mono, e.optItem, bookkeeping.NewWait(func() { e.reply(c.ID, 200, asJSON(opt)) }))
+}
+
+// use puts figures in force.
+func (e *engine) use(opt Options) {
+	e.opt = opt
+	e.book.SetBudget(e.n.cfg.Settings.State.WriteRPS * opt.WriteShare)
+	e.schedule = true
+}
+
+// Status is what a node says of itself.
+type Status struct {
+	Node   string        `json:"node"`
+	Role   string        `json:"role"`
+	Term   int64         `json:"term"`
+	Leader string        `json:"leader"`
+	UpS    float64       `json:"up_s"`
+	Counts Stats         `json:"counts"`
+	Leads  *LeaderStatus `json:"leads,omitempty"`
+}
+
+// LeaderStatus is what only the leader knows.
+type LeaderStatus struct {
+	SinceS      float64             `json:"since_s"`
+	CertainForS float64             `json:"certain_for_s"`
+	Jobs        int                 `json:"jobs"`
+	Over        int                 `json:"over"`
+	Classes     map[string]Queue    `json:"classes"`
+	Teams       map[string]TeamUse  `json:"teams"`
+	Machines    map[string]Machines `json:"machines"`
+	Doubts      []string            `json:"machines_in_doubt"`
+	SetAside    []string            `json:"machines_set_aside"`
+	Backlog     int                 `json:"pages_to_write"`
+	BacklogS    float64             `json:"oldest_page_waits_s"`
+	Pages       int                 `json:"pages"`
+	Released    []string            `json:"peers_let_go"`
+}
+
+// Queue is a class's tasks.
+type Queue struct {
+	Jobs    int `json:"jobs"`
+	Waiting int `json:"waiting"`
+	Placed  int `json:"placed"`
+	Running int `json:"running"`
+}
+
+// TeamUse is a team's use and bounds.
+type TeamUse struct {
+	Waiting    int     `json:"waiting"`
+	CPUs       float64 `json:"cpus"`
+	CPUsSure   float64 `json:"cpus_guaranteed"`
+	CPUsAtMost float64 `json:"cpus_at_most"`
+	GPUs       float64 `json:"gpus"`
+	GPUsSure   float64 `json:"gpus_guaranteed"`
+	GPUsAtMost float64 `json:"gpus_at_most"`
+}
+
+// Machines counts a type's machines.
+type Machines struct {
+	Booting int `json:"booting"`
+	Up      int `json:"up"`
+	Silent  int `json:"silent"`
+	Spot    int `json:"spot"`
+	Empty   int `json:"empty"`
+}
+
+func (n *Node) status() Status {
+	s := Status{
+		Node: n.cfg.Node, Role: n.Role(), Term: n.term.own, Leader: n.term.leader, UpS: n.now.Mono.Seconds(), Counts: n.Stats,
+	}
+	if n.engine != nil {
+		s.Leads = n.engine.status()
+	}
+	return s
+}
+
+func (e *engine) status() *LeaderStatus {
+	now := e.n.now.Mono
+	pages, oldest := e.book.Backlog(now)
+	l := &LeaderStatus{
+		SinceS: (now - e.ledAt).Seconds(), CertainForS: max(0, e.n.term.until-now).Seconds(), Jobs: len(e.order), Over: len(e.finals),
+		Classes: map[string]Queue{}, Teams: map[string]TeamUse{}, Machines: map[string]Machines{},
+		Doubts: []string{}, SetAside: []string{}, Released: []string{}, Backlog: pages, BacklogS: oldest.Seconds(), Pages: e.book.Pages(),
+	}
+	for name, t := range e.teams {
+		l.Teams[name] = TeamUse{
+			CPUs: t.used.cpus, CPUsSure: t.CPUs, CPUsAtMost: t.CPUsMax, GPUs: t.used.gpus, GPUsSure: t.GPUs, GPUsAtMost: t.GPUsMax,
+		}
+	}
+	for _, j := range e.order {
+		q, t := l.Classes[j.Class], l.Teams[j.Team]
+		q.Jobs++
+		q.Waiting += j.idle()
+		t.Waiting += j.idle()
+		for _, x := range j.tasks {
+			q.Placed++
+			if x.ranSince >= 0 {
+				q.Running++
+			}
+		}
+		l.Classes[j.Class], l.Teams[j.Team] = q, t
+	}
+	for _, h := range e.byName {
+		m := l.Machines[h.kind]
+		switch {
+		case !h.up:
+			m.Booting++
+		case h.session <= h.dead || now-h.heard > e.rules.lease:
+			m.Silent++
+		default:
+			m.Up++
+		}
+		if h.spot {
+			m.Spot++
+		}
+		if h.up && len(h.tasks) == 0 {
+			m.Empty++
+		}
+		l.Machines[h.kind] = m
+		if h.doubtTok >= e.token {
+			l.Doubts = append(l.Doubts, h.name)
+		}
+		if h.sick {
+			l.SetAside = append(l.SetAside, h.name)
+		}
+	}
+	for p := range e.n.term.released {
+		l.Released = append(l.Released, p)
+	}
+	slices.Sort(l.Released)
+	return l
+}
--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -157,20 +157,21 @@
 
 // engine is a leader's picture of everything, and what it does about it.
 type engine struct {
-	n      *Node
-	rules  Rules
-	opt    Options
-	token  int64
-	firstT int64
-	ledAt  time.Duration
-	book   *bookkeeping.Book
-	jobs   map[string]*job
-	order  []*job // by submission
-	finals map[string]*final
-	teams  map[string]*team
-	hosts  map[string]*host
-	byName []*host
-	gone   map[string]time.Duration // machines returned, by when
+	n       *Node
+	rules   Rules
+	opt     Options
+	optItem *optionsItem
+	token   int64
+	firstT  int64
+	ledAt   time.Duration
+	book    *bookkeeping.Book
+	jobs    map[string]*job
+	order   []*job // by submission
+	finals  map[string]*final
+	teams   map[string]*team
+	hosts   map[string]*host
+	byName  []*host
+	gone    map[string]time.Duration // machines returned, by when
 
 	txnCall   uint64
 	raising   *protocol.Txn
@@ -222,6 +223,16 @@
 	}
 	for _, p := range pages { // jobs before blocks, which may be on other pages
 		e.book.Load(p.number, p.version)
+		if text := p.value.Options; text != "" {
+			e.optItem = &optionsItem{text}
+			e.book.Load(p.number, p.version, e.optItem)
+			opt, err := e.opt.With([]byte(text))
+			if err != nil {
+				n.log(Error, "kept settings can't be used, defaults are in force", "error", err.Error())
+			} else {
+				e.use(opt)
+			}
+		}
 		for _, r := range p.value.Finals {
 			f := &final{r}
 			e.finals[r.ID] = f
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -14,24 +14,6 @@
 	"oakpick/internal/protocol"
 )
 
-// Options are the figures that operators may change while it runs.
-type Options struct {
-	WriteShare  float64 // of the state service's write rate
-	Sample      int     // machines looked at for a task
-	IdleS       float64 // how long an empty machine is kept
-	WarmZ       float64 // room kept free: so many deviations of what arrives while a machine boots
-	PreemptMost float64 // most work that a preemption may cost, in seconds
-	GiveUpBoots float64 // boot times after which a machine is given up
-}
-
-// DefaultOptions derives them from the settings.
-func DefaultOptions(cfg *config.Config) Options {
-	return Options{
-		WriteShare: 0.5, Sample: 64, IdleS: 4 * cfg.Settings.Workers.Lease, WarmZ: 2,
-		PreemptMost: 600, GiveUpBoots: 4,
-	}
-}
-
 // fleet is what is rented, and the dealings with the cloud.
 type fleet struct {
 	types    []protocol.MachineType
@@ -117,7 +99,7 @@
 		f.listing = e.cloud(CloudCall{Op: CloudList}, cloudCall{op: CloudList})
 		f.seen = map[string]bool{}
 	}
-	if len(f.types) == 0 || f.lists == 0 || now < e.ledAt+e.rules.report*3/2 && len(e.hosts) > 0 {
+	if len(f.types) == 0 || f.lists == 0 || now < e.ledAt+config.Seconds(e.opt.TakeoverS) && len(e.hosts) > 0 {
 		return
 	}
 	e.schedule = e.schedule || len(f.unplaced) > 0
@@ -409,7 +391,7 @@
 		}
 	}
 	expected := float64(n) / span.Seconds() * boot
-	return int(math.Round(e.opt.WarmZ * math.Sqrt(expected) * c.tasks))
+	return int(math.Round(e.opt.WarmRoom * math.Sqrt(expected) * c.tasks))
 }
 
 // pack finds the fullest bin with room.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -174,12 +174,22 @@
 
 // Stats are counts since the process began.
 type Stats struct {
-	Submitted, Polled, Cancelled, Shed int64
-	Reports, StaleReports              int64
-	Starts, Lost, Finished, Preempted  int64
-	Failed, Raised, Terms              int64
-	Rented, Returned                   int64
-	Txns, Retries                      int64
+	Submitted    int64 `json:"submitted"`
+	Polled       int64 `json:"polled"`
+	Cancelled    int64 `json:"cancelled"`
+	Reports      int64 `json:"reports"`
+	StaleReports int64 `json:"stale_reports"`
+	Starts       int64 `json:"starts"`
+	Lost         int64 `json:"tasks_lost"`
+	Finished     int64 `json:"tasks_finished"`
+	Preempted    int64 `json:"tasks_preempted"`
+	Failed       int64 `json:"tasks_failed"`
+	Raised       int64 `json:"tokens_raised"`
+	Terms        int64 `json:"terms_taken"`
+	Rented       int64 `json:"machines_rented"`
+	Returned     int64 `json:"machines_returned"`
+	Txns         int64 `json:"writes"`
+	Retries      int64 `json:"writes_retried"`
 }
 
 // New makes a node. The seed and the boot name must differ between processes.
@@ -221,6 +231,8 @@
 		n.report(c)
 	case LetGoCall:
 		n.letGo(c)
+	case AdminCall:
+		n.admin(c)
 	case StateResult:
 		n.stateResult(c)
 	case CloudResult:
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -404,7 +404,7 @@
 			best, victims, bestCost = h, take, cost
 		}
 	}
-	if bestCost > e.opt.PreemptMost {
+	if bestCost > e.opt.PreemptMostS {
 		return nil, nil
 	}
 	return best, victims
--- /dev/null
+++ b/internal/coordination/story_test.go
@@ -0,0 +1,425 @@
+package coordination_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"oakpick/internal/coordination"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+)
+
+// world makes one in which n0 leads.
+func world(t *testing.T) *fake.World {
+	t.Helper()
+	w := fake.NewWorld(fake.Settings())
+	w.Nodes[1].Crash()
+	w.Nodes[2].Crash()
+	if !w.Until(5*time.Second, w.Nodes[0].Leads) {
+		t.Fatal("nobody leads")
+	}
+	w.Nodes[1].Start()
+	w.Nodes[2].Start()
+	return w
+}
+
+func runs(t *testing.T, w *fake.World, id string, tasks int) {
+	t.Helper()
+	if !w.Until(90*time.Second, func() bool { return w.Running(id) == tasks }) {
+		t.Fatalf("%s: %d of %d run\n%s", id, w.Running(id), tasks, strings.Join(w.Log, "\n"))
+	}
+}
+
+func service(id, tasks int) protocol.Submission {
+	s := job(id, protocol.Service, tasks)
+	s.SaveEach = 0
+	return s
+}
+
+// A job is cancelled, and the leader ends before any worker has heard of it.
+func TestSuccessorStopsWhatWasCancelled(t *testing.T) {
+	w := world(t)
+	j := w.Submit(service(1, 2), 0)
+	runs(t, w, j.Sub.ID, 2)
+	w.Network = func(kind, _, _ string) fake.Fate { // no commands arrive from now on
+		f := fake.Well()
+		f.LoseAnswer = kind == "report"
+		f.LoseRequest = kind == "orders"
+		return f
+	}
+	w.CancelJob(j)
+	if !w.Until(time.Second, func() bool { return j.Cancelled }) {
+		t.Fatal("never told that it is cancelled")
+	}
+	w.Nodes[0].Crash()
+	w.Network = nil
+	w.Run(40 * time.Second)
+	if n := len(w.On(j.Sub.ID)); n != 0 {
+		t.Errorf("%d tasks are left", n)
+	}
+	check(t, w)
+}
+
+// A start is carried out, the task ends, and then a copy of the start arrives:
+// first within the term, then after the job has moved on.
+func TestCopyOfAStartDoesNotRunAgain(t *testing.T) {
+	w := world(t)
+	w.Network = func(kind, _, _ string) fake.Fate {
+		f := fake.Well()
+		if kind == "orders" {
+			f.Copy = 25 * time.Second
+		}
+		return f
+	}
+	j := w.Submit(job(1, protocol.Array, 3), 2*time.Second)
+	for range 30 {
+		w.Run(2 * time.Second)
+		w.PollAll()
+		for _, id := range w.On(j.Sub.ID) {
+			if w.Now > 45*time.Second {
+				t.Fatalf("runs again on %s", id)
+			}
+		}
+	}
+	check(t, w)
+	served(t, w)
+}
+
+// A start gets no answer and arrives only much later: no other machine may run
+// the task until that start is void, which a raised token makes it.
+func TestStartWithoutAnswerIsVoidedFirst(t *testing.T) {
+	w := world(t)
+	first := true
+	w.Network = func(kind, _, _ string) fake.Fate {
+		f := fake.Well()
+		if kind == "orders" && first {
+			first = false
+			f.Request = 30 * time.Second
+		}
+		return f
+	}
+	j := w.Submit(service(1, 1), 0)
+	runs(t, w, j.Sub.ID, 1)
+	w.Run(60 * time.Second)
+	if w.Running(j.Sub.ID) != 1 || len(w.On(j.Sub.ID)) != 1 {
+		t.Errorf("on %v", w.On(j.Sub.ID))
+	}
+	if w.Nodes[0].Stats().Raised == 0 {
+		t.Error("the token was not raised")
+	}
+	check(t, w)
+}
+
+// The state service is down for less than what the hold and a worker's lease
+// allow: no replica is lost. Down for longer: all are, and none runs twice.
+func TestStateOutageOnBothSidesOfTheHold(t *testing.T) {
+	for _, x := range []struct {
+		down time.Duration
+		kept bool
+	}{{18 * time.Second, true}, {26 * time.Second, true}, {45 * time.Second, false}} {
+		t.Run(x.down.String(), func(t *testing.T) {
+			w := world(t)
+			j := w.Submit(service(1, 2), 0)
+			runs(t, w, j.Sub.ID, 2)
+			w.Run(10 * time.Second)
+			hosts := w.On(j.Sub.ID)
+			w.State.Outage(true)
+			w.After(x.down, func() { w.State.Outage(false) })
+			w.Run(x.down + 8*time.Second)
+			kept := slices.Equal(w.On(j.Sub.ID), hosts) && w.Session(hosts[0]) == 1
+			if kept != x.kept {
+				t.Errorf("kept %v\n%s", kept, strings.Join(w.Log[max(0, len(w.Log)-20):], "\n"))
+			}
+			w.Run(90 * time.Second)
+			check(t, w)
+			served(t, w)
+		})
+	}
+}
+
+// The leader keeps nothing but one worker. It goes on answering that one for
+// its hold; the successor, which hears nothing of either, waits that long.
+func TestLeaderWithOnlyItsWorkersLeft(t *testing.T) {
+	w := world(t)
+	j := w.Submit(service(1, 1), 0)
+	runs(t, w, j.Sub.ID, 1)
+	host := w.On(j.Sub.ID)[0]
+	w.Network = func(_, from, to string) fake.Fate {
+		f := fake.Well()
+		alone := func(x string) bool { return x == "n0" || x == host }
+		f.LoseRequest = alone(from) != alone(to)
+		return f
+	}
+	w.Run(80 * time.Second)
+	check(t, w)
+	if w.Leader() == nil || w.Leader().Name == "n0" {
+		t.Fatal("nobody took over")
+	}
+	if w.Running(j.Sub.ID) != 1 {
+		t.Error("the replica was not replaced")
+	}
+	w.Network = nil
+	w.Run(30 * time.Second)
+	check(t, w)
+}
+
+// The predecessor has ended and its next process says so: the wait is shorter.
+func TestPeersLettingGoShortensTheWait(t *testing.T) {
+	w := world(t)
+	j := w.Submit(service(1, 1), 0)
+	runs(t, w, j.Sub.ID, 1)
+	host := w.On(j.Sub.ID)[0]
+	w.Nodes[0].Crash()
+	w.After(3*time.Second, w.Nodes[0].Start)
+	w.Cloud.Die(host)
+	if !w.Until(22*time.Second, func() bool { return w.Running(j.Sub.ID) == 1 }) {
+		t.Errorf("not replaced in 22 s\n%s", strings.Join(w.Log, "\n"))
+	}
+	check(t, w)
+}
+
+// The answer to a write is lost, and the write landed: it is recognised by its
+// own id, and the leader goes on.
+func TestWriteThatLandedWithoutAnAnswer(t *testing.T) {
+	w := world(t)
+	w.Run(5 * time.Second)
+	lost := 0
+	w.Network = func(kind, from, _ string) fake.Fate {
+		f := fake.Well()
+		if kind == "state" && from == "n0" && w.State.PageWrites > 1 && lost < 2 {
+			lost++
+			f.LoseAnswer = true
+		}
+		return f
+	}
+	a := w.Submit(service(1, 1), 0)
+	runs(t, w, a.Sub.ID, 1)
+	if lost == 0 || !w.Nodes[0].Leads() || w.Nodes[0].Stats().Terms != 1 {
+		t.Errorf("%d answers lost, terms %d", lost, w.Nodes[0].Stats().Terms)
+	}
+	check(t, w)
+}
+
+// A rental is carried out and its answer lost: it is asked again under its own
+// name, and nothing is rented twice.
+func TestRentalWithoutAnswerIsRepeatedUnderItsName(t *testing.T) {
+	w := world(t)
+	lost := 0
+	w.Network = func(kind, _, _ string) fake.Fate {
+		f := fake.Well()
+		if kind == "cloud" && w.Now > 3*time.Second && lost < 3 {
+			lost++
+			f.LoseAnswer = true
+		}
+		return f
+	}
+	w.Run(4 * time.Second)
+	s := service(1, 1)
+	s.CPUs = 4
+	w.Submit(s, 0)
+	runs(t, w, s.ID, 1)
+	if n := w.Nodes[0].Stats().Rented; lost == 0 || int64(len(w.Names())) != n {
+		t.Errorf("%d lost answers, %d machines known of %d", lost, n, len(w.Names()))
+	}
+	check(t, w)
+}
+
+// A machine fails every task; others don't. It is set aside and given back.
+func TestSickMachineIsSetAside(t *testing.T) {
+	w := world(t)
+	a := w.Submit(service(1, 1), 0)
+	runs(t, w, a.Sub.ID, 1)
+	sick := w.On(a.Sub.ID)[0]
+	w.Workers[sick].Sick = true
+	for i := range 5 {
+		w.Submit(job(i+2, protocol.Array, 2), time.Second)
+	}
+	for range 25 {
+		w.Run(2 * time.Second)
+		w.PollAll()
+	}
+	if !strings.Contains(strings.Join(w.Log, "\n"), "machine set aside [host "+sick) {
+		t.Errorf("not set aside\n%s", strings.Join(w.Log, "\n"))
+	}
+	served(t, w)
+	check(t, w)
+}
+
+// A job fails wherever it goes: no machine is blamed, and it is not retried hot.
+func TestJobThatAlwaysFailsBlamesNoMachine(t *testing.T) {
+	w := world(t)
+	for i := range 3 {
+		j := w.Submit(service(i+1, 1), 0)
+		j.Broken = true
+	}
+	w.Run(90 * time.Second)
+	st := w.Nodes[0].Stats()
+	if st.Failed < 6 || st.Failed > 60 {
+		t.Errorf("%d failures in 90 s", st.Failed)
+	}
+	good := w.Submit(service(9, 1), 0)
+	runs(t, w, good.Sub.ID, 1)
+	check(t, w)
+}
+
+// A member of a gang is lost: the rest end, and the next attempt starts as one.
+func TestGangStartsAgainTogether(t *testing.T) {
+	w := world(t)
+	s := job(1, protocol.Gang, 3)
+	s.CPUs, s.Spread = 3, true
+	j := w.Submit(s, 40*time.Second)
+	runs(t, w, s.ID, 3)
+	w.Cloud.Die(w.On(s.ID)[1])
+	w.Run(2 * time.Second)
+	runs(t, w, s.ID, 3)
+	for range 40 {
+		w.Run(2 * time.Second)
+		w.PollAll()
+	}
+	if j.Told != protocol.StatusDone {
+		t.Errorf("told %q", j.Told)
+	}
+	check(t, w)
+}
+
+// More tasks than fit a page, block by block, over a change of leader.
+func TestManyTasksFitSmallPages(t *testing.T) {
+	w := world(t)
+	s := job(1, protocol.Array, 300)
+	s.Team, s.SaveEach = "blue", 0
+	j := w.Submit(s, time.Second)
+	w.Run(25 * time.Second)
+	w.Nodes[0].Crash()
+	for range 60 {
+		w.Run(3 * time.Second)
+		w.PollAll()
+	}
+	if j.Told != protocol.StatusDone || len(j.DoneTasks) != 300 {
+		t.Errorf("told %q, %d done\n%s", j.Told, len(j.DoneTasks), strings.Join(w.Log[max(0, len(w.Log)-20):], "\n"))
+	}
+	check(t, w)
+}
+
+// What is over stays known when every process has ended.
+func TestFinalStatesOutliveAllProcesses(t *testing.T) {
+	w := world(t)
+	a := w.Submit(job(1, protocol.Array, 2), time.Second)
+	b := w.Submit(service(2, 1), 0)
+	runs(t, w, b.Sub.ID, 1)
+	w.CancelJob(b)
+	w.Run(10 * time.Second)
+	for _, n := range w.Nodes {
+		n.Crash()
+	}
+	w.Run(time.Second)
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	w.Run(10 * time.Second)
+	w.Again(a)
+	w.Again(b)
+	w.PollAll()
+	w.Run(5 * time.Second)
+	if a.Told != protocol.StatusDone || b.Told != protocol.StatusCancelled {
+		t.Errorf("told %q and %q", a.Told, b.Told)
+	}
+	check(t, w)
+}
+
+// A node's next process needn't wait for the term of the one before to run out.
+func TestNextProcessOfTheLeaderTakesOverAtOnce(t *testing.T) {
+	w := world(t)
+	w.Run(time.Second)
+	w.Nodes[0].Crash()
+	w.Nodes[0].Start()
+	if !w.Until(500*time.Millisecond, w.Nodes[0].Leads) {
+		t.Error("it does not lead after half a second")
+	}
+	check(t, w)
+}
+
+func admin(w *fake.World, n int, kind coordination.AdminKind, body string) (status int, answer string) {
+	w.Nodes[n].Ask(coordination.AdminCall{Kind: kind, Body: []byte(body)}, func(r coordination.Reply) {
+		status, answer = r.Status, string(r.Body)
+	})
+	w.Run(time.Second)
+	return status, answer
+}
+
+// Operators' settings are checked, named when wrong, in force from any node and
+// kept over the end of all processes.
+func TestOperatorsSettings(t *testing.T) {
+	w := world(t)
+	w.Run(2 * time.Second)
+	for body, want := range map[string]string{
+		`{"sample": 0}`:          "sample",
+		`{"idle_s": "long"}`:     "idle_s",
+		`{"write_share": 2}`:     "write_share",
+		`{"no_such_figure": 1}`:  "no_such_figure",
+		`{"warm_room": -1}`:      "warm_room",
+		`[1]`:                    "",
+		`{"takeover_wait_s": []`: "",
+	} {
+		if status, answer := admin(w, 0, coordination.AdminChange, body); status != 400 || !strings.Contains(answer, want) {
+			t.Errorf("%s: %d %s", body, status, answer)
+		}
+	}
+	if status, answer := admin(w, 1, coordination.AdminChange, `{"sample": 7, "warm_room": 0.5}`); status != 200 {
+		t.Fatalf("through a follower: %d %s", status, answer)
+	}
+	for _, n := range w.Nodes {
+		n.Crash()
+	}
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	w.Run(6 * time.Second)
+	for n := range w.Nodes {
+		status, answer := admin(w, n, coordination.AdminRead, "")
+		if status != 200 || !strings.Contains(answer, `"sample": 7`) || !strings.Contains(answer, `"warm_room": 0.5`) {
+			t.Errorf("node %d: %d %s", n, status, answer)
+		}
+		if status, answer = admin(w, n, coordination.AdminStatus, ""); status != 200 || !strings.Contains(answer, fmt.Sprintf(`"node": "n%d"`, n)) {
+			t.Errorf("status of node %d: %d %s", n, status, answer)
+		}
+	}
+}
+
+// Two jobs of a team that together exceed its limit: the second waits.
+func TestTeamLimitCountsWhatMayStillRun(t *testing.T) {
+	w := world(t)
+	a, b := service(1, 4), service(2, 4)
+	a.Team, b.Team, a.CPUs, b.CPUs = "red", "red", 2, 2
+	ja := w.Submit(a, 0)
+	runs(t, w, a.ID, 4)
+	w.Submit(b, 0)
+	runs(t, w, b.ID, 2) // 12 CPUs at most
+	w.Run(5 * time.Second)
+	w.CancelJob(ja)
+	runs(t, w, b.ID, 4)
+	check(t, w)
+}
+
+// Higher priority needs room on a full fleet: the batch task yields, saving.
+func TestLowerPriorityYields(t *testing.T) {
+	w := world(t)
+	w.Cloud.Most = 1
+	low := job(1, protocol.Array, 4)
+	low.Priority, low.CPUs, low.Types = protocol.Low, 2, []string{"small"}
+	j := w.Submit(low, 60*time.Second)
+	runs(t, w, low.ID, 4)
+	w.Run(5 * time.Second)
+	high := service(2, 1)
+	high.Priority, high.CPUs, high.Types = protocol.Production, 4, []string{"small"}
+	w.Submit(high, 0)
+	if !w.Until(6*time.Second, func() bool { return w.Running(high.ID) == 1 }) {
+		t.Error("not started in 6 s")
+	}
+	if len(j.Saved) == 0 {
+		t.Error("what yielded saved nothing")
+	}
+	check(t, w)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,7 +46,7 @@
 	waits   map[uint64]waiter
 	nextID  uint64
 	healthy atomic.Bool
-	shed    atomic.Int64
+	metrics *metrics
 
 	state   *bookkeeping.Client
 	workers *transport.Workers
@@ -83,18 +83,19 @@
 	ttl := config.Seconds(s.Workers.Lease / 5)
 	d := &daemon{
 		cfg: cfg, log: log, began: time.Now(), group: group, ctx: ctx,
-		node:  coordination.New(cfg, hex.EncodeToString(seed[:8]), binary.LittleEndian.Uint64(seed[8:])),
-		queue: make(chan item, 4*batch), waits: map[uint64]waiter{},
+		node:    coordination.New(cfg, hex.EncodeToString(seed[:8]), binary.LittleEndian.Uint64(seed[8:])),
+		metrics: newMetrics(),
+		queue:   make(chan item, 4*batch), waits: map[uint64]waiter{},
 		state:   bookkeeping.NewClient(cfg.Services.State, report/2, ttl/4),
 		workers: transport.NewWorkers(s.Workers),
 		cloud:   transport.NewCloud(cfg.Services.Cloud, s.Workers),
 		peers:   transport.NewPeers(cfg.Peers, s.Workers),
 	}
 	d.healthy.Store(true)
-	limit := transport.NewLimit(s.Limits.MaxConnections/4, report, func() { d.shed.Add(1) })
+	limit := transport.NewLimit(s.Limits.MaxConnections/4, report, func() { d.metrics.shed.Add(1) })
 	connections := s.Limits.MaxConnections * 3 / 4
 	fs := transport.NewFront(d, limit, connections, report)
-	ps := transport.NewPeerServer(d, limit, nil)
+	ps := transport.NewPeerServer(d, limit, newAdmin(d, limit))
 	group.Go(func() error { return fs.Serve(front) })
 	group.Go(func() error { return ps.Serve(ctx, cluster, connections, 40*report) })
 	group.Go(func() error { d.own(); return nil })
@@ -108,6 +109,8 @@
 
 // Do is the way in for requests: it hands a command to the owner.
 func (d *daemon) Do(command any, raw transport.Raw, wait time.Duration) coordination.Reply {
+	began := time.Now()
+	defer func() { d.metrics.record(command, time.Since(began)) }()
 	ch := make(chan coordination.Reply, 1)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -190,6 +193,9 @@
 	case coordination.LetGoCall:
 		c.ID = d.nextID
 		return c
+	case coordination.AdminCall:
+		c.ID = d.nextID
+		return c
 	}
 	return it.command
 }
@@ -232,7 +238,12 @@
 			return nil
 		})
 	case bookkeeping.StateCall:
-		d.group.Go(func() error { d.push(d.state.Do(e)); return nil })
+		d.group.Go(func() error {
+			began := time.Now()
+			d.push(d.state.Do(e))
+			d.metrics.state(e.Op, time.Since(began))
+			return nil
+		})
 	case coordination.CloudCall:
 		d.group.Go(func() error { d.push(d.cloud.Do(e)); return nil })
 	case coordination.OrdersCall:
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -262,6 +262,9 @@
 	case coordination.LetGoCall:
 		c.ID = n.nextID
 		command = c
+	case coordination.AdminCall:
+		c.ID = n.nextID
+		command = c
 	}
 	n.step(command)
 }
@@ -327,7 +330,6 @@
 	case coordination.Forward:
 		reply := n.replies[e.ID]
 		delete(n.replies, e.ID)
-		c, _ := cause.(coordination.UserCall)
 		for _, p := range w.Nodes {
 			if p.Name == e.Peer {
 				f := w.fate("forward", n.Name, p.Name)
@@ -335,7 +337,7 @@
 					return
 				}
 				w.After(f.Request, func() {
-					p.deliver(c, func(r coordination.Reply) {
+					p.deliver(cause, func(r coordination.Reply) {
 						if !f.LoseAnswer {
 							w.After(f.Answer, func() { reply(r) })
 						}
@@ -634,3 +636,6 @@
 
 // Session is a worker's present session.
 func (w *World) Session(name string) int64 { return w.Workers[name].session }
+
+// Ask hands a node a request, and its reply to a function.
+func (n *Node) Ask(command any, reply func(coordination.Reply)) { n.deliver(command, reply) }
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -182,6 +182,9 @@
 	return p
 }
 
+// ForwardedHeader marks what a peer hands on, which is not handed on again.
+const ForwardedHeader = "Oakpick-Forwarded"
+
 // Forward hands a user's request to a peer and brings back its answer.
 func (p *Peers) Forward(ctx context.Context, peer, method, path string, body []byte) (coordination.Reply, bool) {
 	res, raw, err := p.call(ctx, peer, method, path, body)
@@ -197,6 +200,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	req.Header.Set(ForwardedHeader, "1")
 	res, err := p.client.Do(req)
 	if err != nil {
 		return nil, nil, err
