--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -25,6 +25,7 @@
 	PreemptMostS float64 `json:"preempt_most_s" validate:"gte=0,lte=1000000"`
 	GiveUpBoots  float64 `json:"give_up_boots" validate:"gte=1.5,lte=1000"`
 	TakeoverS    float64 `json:"takeover_wait_s" validate:"gte=0,lte=3600"`
+	MovesPerMin  float64 `json:"moves_per_min" validate:"gte=0,lte=6000"`
 }
 
 // DefaultOptions derives them from the settings.
@@ -32,7 +33,7 @@
 	w := cfg.Settings.Workers
 	return Options{
 		WriteShare: 0.5, Sample: 64, IdleS: 4 * w.Lease, WarmRoom: 2,
-		PreemptMostS: 50 * w.Lease, GiveUpBoots: 4, TakeoverS: 1.5 * w.Report,
+		PreemptMostS: 50 * w.Lease, GiveUpBoots: 4, TakeoverS: 1.5 * w.Report, MovesPerMin: 60,
 	}
 }
 
--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -60,6 +60,7 @@
 	gangRan     bool // the present attempt has begun to run
 	gangEnding  bool // and is to end before the next
 	idleSince   time.Duration
+	prefer      *host // where a replica that is being moved is to go
 }
 
 // block is a run of a job's tasks, recorded together.
@@ -179,6 +180,7 @@
 	raiseNext time.Duration
 	raiseRev  int64
 	raisedAt  time.Duration
+	moveAt    time.Duration
 
 	schedule bool // something changed that may let a task start
 	fleet    fleet
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -354,6 +354,9 @@
 	for _, o := range offers {
 		e.rent(o, min(counts[o], 50))
 	}
+	if len(offers) == 0 {
+		e.consolidate(bins)
+	}
 	needed := map[*host]bool{}
 	for _, b := range bins[:firstNew] {
 		if b.h != nil && b.used {
@@ -488,6 +491,8 @@
 			why = "it is silent"
 		case h.up && len(h.tasks) == 0 && h.sick:
 			why = "it is set aside"
+		case h.up && len(h.tasks) == 0 && len(h.others) == 0 && h.draining:
+			why = "it was emptied"
 		case h.up && len(h.tasks) == 0 && len(h.others) == 0 && !needed[h] && h.noticeAt == 0 &&
 			now-h.emptySince > config.Seconds(e.opt.IdleS) && now-e.ledAt > config.Seconds(e.opt.IdleS):
 			why = "it is idle"
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -43,6 +43,7 @@
 	failedJobs map[string]bool
 	sick       bool
 	returning  bool
+	draining   bool // is being emptied
 	returnCall bool
 	emptySince time.Duration
 	images     []image // most recently used last
@@ -442,7 +443,7 @@
 // alive tells whether a machine can be given tasks.
 func (e *engine) alive(h *host) bool {
 	now := e.n.now.Mono
-	return h.up && !h.returning && !h.sick && !h.failedMachine && h.noticeAt == 0 && h.session > h.dead && now >= h.pauseUntil &&
+	return h.up && !h.returning && !h.draining && !h.sick && !h.failedMachine && h.noticeAt == 0 && h.session > h.dead && now >= h.pauseUntil &&
 		now-h.heard < e.rules.report*5/2 && (h.doubtTok < e.token)
 }
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -183,6 +183,7 @@
 	Lost         int64 `json:"tasks_lost"`
 	Finished     int64 `json:"tasks_finished"`
 	Preempted    int64 `json:"tasks_preempted"`
+	Moved        int64 `json:"replicas_moved"`
 	Failed       int64 `json:"tasks_failed"`
 	Raised       int64 `json:"tokens_raised"`
 	Terms        int64 `json:"terms_taken"`
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -159,6 +159,12 @@
 			fit = append(fit, h)
 		}
 	}
+	if to := j.prefer; to != nil {
+		j.prefer = nil
+		if slices.Contains(fit, to) {
+			return to
+		}
+	}
 	if len(fit) == 0 && len(j.failedOn) > 0 {
 		for _, h := range e.byName {
 			if e.alive(h) && j.allowed(h.kind, h.zone, h.spot) && j.need.fits(h.virtual) && j.zoneOK(h.zone, use) {
--- a/internal/protocol/words.go
+++ b/internal/protocol/words.go
@@ -130,3 +130,6 @@
 	}
 	return Decode(body, &a) == nil && a.Error == "no capacity"
 }
+
+// StartCountsS is how long a task has to be left alone for its start to count.
+const StartCountsS = 30
