--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -317,6 +317,11 @@
 	if v.job == j || v.job.Cancelled || len(j.failedOn) >= 3 {
 		return false
 	}
+	// Whoever is stopped must not come before the job in the queue: it would take
+	// the room again, and be stopped again, for ever.
+	if order(v.job) >= order(j) {
+		return false
+	}
 	return v.job.Priority < j.Priority || j.within && !v.job.within && v.job.team != j.team
 }
 
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -502,3 +502,23 @@
 	}
 	check(t, w)
 }
+
+// A job of a higher priority, beyond its team's guarantee, finds no room; what
+// runs is within its own team's. The queue would give the room straight back,
+// so nothing is stopped.
+func TestPreemptionFollowsTheQueue(t *testing.T) {
+	w := world(t)
+	w.Cloud.Most = 1
+	sure := service(1, 2) // blue is guaranteed four CPUs
+	sure.Priority, sure.CPUs, sure.Types, sure.Zone = protocol.High, 2, []string{"small"}, "a"
+	w.Submit(sure, 0)
+	runs(t, w, sure.ID, 2)
+	beyond := service(2, 1)
+	beyond.Priority, beyond.CPUs, beyond.Types, beyond.Zone = protocol.Production, 4, []string{"small"}, "a"
+	w.Submit(beyond, 0)
+	w.Run(10 * time.Second)
+	if n := w.Nodes[0].Stats().Preempted; n != 0 || w.Running(sure.ID) != 2 {
+		t.Errorf("%d stopped, %d of 2 run", n, w.Running(sure.ID))
+	}
+	check(t, w)
+}
