--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -315,10 +315,10 @@
 		}
 	}
 	firstNew := len(bins)
-	want := func(j *job, n int, use map[string]int) {
+	want := func(j *job, n int, use map[string]int, spotOnly bool) {
 		for range n {
-			b := pack(bins, j, use)
-			o, ok := e.cheapest(j, use, n)
+			b := pack(bins, j, use, spotOnly)
+			o, ok := e.cheapest(j, use, n, spotOnly)
 			if b != nil && !(ok && e.sooner(j, b, o)) {
 				b.room = b.room.minus(j.need)
 				b.used = true
@@ -335,12 +335,14 @@
 	}
 	for _, w := range f.unplaced {
 		if !w.job.over && !w.job.Cancelled {
-			want(w.job, min(w.tasks, w.job.idle()), w.job.zoneUse())
+			want(w.job, min(w.tasks, w.job.idle()), w.job.zoneUse(), false)
 		}
 	}
 	for _, name := range e.classNames() {
 		if c := e.classes[name]; c.sample != nil {
-			want(c.sample, e.warmTasks(c), map[string]int{})
+			// Room for what may use spot machines is kept on those only: it isn't
+			// worth an ordinary machine.
+			want(c.sample, e.warmTasks(c), map[string]int{}, c.sample.Spot)
 		}
 	}
 	counts := map[offer]int{}
@@ -398,10 +400,10 @@
 }
 
 // pack finds the fullest bin with room.
-func pack(bins []*bin, j *job, use map[string]int) *bin {
+func pack(bins []*bin, j *job, use map[string]int, spotOnly bool) *bin {
 	var best *bin
 	for _, b := range bins {
-		if !j.allowed(b.offer.kind, b.offer.zone, b.offer.spot) || !j.zoneOK(b.offer.zone, use) || !j.need.fits(b.room) {
+		if spotOnly && !b.offer.spot || !j.allowed(b.offer.kind, b.offer.zone, b.offer.spot) || !j.zoneOK(b.offer.zone, use) || !j.need.fits(b.room) {
 			continue
 		}
 		if best == nil || b.room.gpus+b.room.cpus/1000 < best.room.gpus+best.room.cpus/1000 {
@@ -412,7 +414,7 @@
 }
 
 // cheapest is the offer that gives a task of the job its place for the least.
-func (e *engine) cheapest(j *job, use map[string]int, n int) (offer, bool) {
+func (e *engine) cheapest(j *job, use map[string]int, n int, spotOnly bool) (offer, bool) {
 	f, now := &e.fleet, e.n.now.Mono
 	var best offer
 	bestCost := math.Inf(1)
@@ -431,7 +433,7 @@
 		for _, z := range mt.Zones {
 			for _, spot := range []bool{true, false} {
 				o := offer{mt.Name, z, spot}
-				if !j.allowed(mt.Name, z, spot) || !j.zoneOK(z, use) || now < f.refused[o] {
+				if spotOnly && !spot || !j.allowed(mt.Name, z, spot) || !j.zoneOK(z, use) || now < f.refused[o] {
 					continue
 				}
 				price := mt.Price
