--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -60,7 +60,8 @@
 	gangRan     bool // the present attempt has begun to run
 	gangEnding  bool // and is to end before the next
 	idleSince   time.Duration
-	prefer      *host // where a replica that is being moved is to go
+	holdUntil   time.Duration // until when it may wait for a better machine; 0: hasn't
+	prefer      *host         // where a replica that is being moved is to go
 }
 
 // block is a run of a job's tasks, recorded together.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oakpick/internal/bookkeeping"
+	"oakpick/internal/config"
 	"oakpick/internal/protocol"
 )
 
@@ -125,6 +126,7 @@
 			if i < 0 {
 				break
 			}
+			e.n.log(Debug, "task placed", "job", j.ID, "class", j.Class, "task", i, "host", h.name, "image", j.Image, "fetch_s", h.fetchTime(e, j))
 			e.place(j, i, h, nil)
 			h.virtual = h.virtual.minus(j.need)
 			use[h.zone]++
@@ -183,9 +185,42 @@
 			best, bestCost = h, c
 		}
 	}
+	if best != nil && e.betterSoon(j, best) {
+		return nil
+	}
 	return best
 }
 
+// betterSoon tells whether a task should rather wait for a machine that is about
+// to be up than have its image fetched beside another one: both would be late.
+func (e *engine) betterSoon(j *job, h *host) bool {
+	now := e.n.now.Mono
+	mt := e.fleet.kind(h.kind)
+	if mt == nil || mt.FetchRate <= 0 {
+		return false
+	}
+	own := j.ImageGB / mt.FetchRate
+	if own < 1 || h.fetchTime(e, j) < 1.3*own {
+		return false
+	}
+	if j.holdUntil == 0 {
+		j.holdUntil = now + config.Seconds(own/2)
+	}
+	if now >= j.holdUntil {
+		return false
+	}
+	for _, x := range e.byName {
+		if !e.coming(x) || !j.allowed(x.kind, x.zone, x.spot) {
+			continue
+		}
+		boot := config.Seconds(e.fleet.kind(x.kind).BootS)
+		if age := now - x.rentedAt; age > boot-config.Seconds(own/2) && age < boot*5/4 {
+			return true
+		}
+	}
+	return false
+}
+
 // cost ranks machines for a task. Packing comes first, since a machine that
 // empties can be given back; the image's fetch counts for little, unless it
 // would make the start late by its class's aim.
