--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -338,7 +338,13 @@
 			want(w.job, min(w.tasks, w.job.idle()), w.job.zoneUse(), false)
 		}
 	}
-	e.keepWarm(want)
+	for _, name := range e.classNames() {
+		if c := e.classes[name]; c.sample != nil {
+			// Room for what may use spot machines is kept on those only: it isn't
+			// worth an ordinary machine.
+			want(c.sample, e.warmTasks(c), map[string]int{}, c.sample.Spot)
+		}
+	}
 	counts := map[offer]int{}
 	var offers []offer
 	for _, b := range bins[firstNew:] {
@@ -371,36 +377,9 @@
 	return names
 }
 
-// keepWarm asks for the room to be kept free: for each class so many deviations
-// of what arrives, beyond what leaves, while a machine boots. Classes that can
-// use the same machines seldom peak together, so they share their room: their
-// deviations add up as independent ones do.
-func (e *engine) keepWarm(want func(*job, int, map[string]int, bool)) {
-	type pool struct{ gpu, spot bool }
-	sum, squares := map[pool]float64{}, map[pool]float64{}
-	names := e.classNames()
-	poolOf := func(c *class) pool { return pool{c.need.gpus > 0, c.sample.Spot} }
-	for _, name := range names {
-		if c := e.classes[name]; c.sample != nil {
-			d := e.deviation(c) * max(c.need.gpus, c.need.cpus/1000)
-			sum[poolOf(c)] += d
-			squares[poolOf(c)] += d * d
-		}
-	}
-	for _, name := range names {
-		c := e.classes[name]
-		if c.sample == nil || sum[poolOf(c)] == 0 {
-			continue
-		}
-		share := math.Sqrt(squares[poolOf(c)]) / sum[poolOf(c)]
-		// Room for what may use spot machines is kept on those only: it isn't
-		// worth an ordinary machine.
-		want(c.sample, int(math.Round(e.opt.WarmRoom*e.deviation(c)*share)), map[string]int{}, c.sample.Spot)
-	}
-}
-
-// deviation is that of a class's arrivals, in tasks, while a machine boots.
-func (e *engine) deviation(c *class) float64 {
+// warmTasks is how many tasks of a class to keep room for: what may arrive,
+// beyond what leaves, while a machine boots.
+func (e *engine) warmTasks(c *class) int {
 	now := e.n.now.Mono
 	window := e.rules.lease * 10
 	n := 0
@@ -416,7 +395,8 @@
 			boot = max(boot, mt.BootS)
 		}
 	}
-	return math.Sqrt(float64(n)/span.Seconds()*boot) * c.tasks
+	expected := float64(n) / span.Seconds() * boot
+	return int(math.Round(e.opt.WarmRoom * math.Sqrt(expected) * c.tasks))
 }
 
 // pack finds the fullest bin with room.
