--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -441,11 +441,6 @@
 					price = mt.SpotPrice
 				}
 				c := price / float64(slots) * (1 + 0.01*float64(use[z]))
-				if within := e.within[j.Class]; within > 0 && mt.FetchRate > 0 && j.ImageGB/mt.FetchRate > within {
-					// Its image alone would make every first start here late; others
-					// can use these machines as well.
-					c *= 1.6
-				}
 				if c < bestCost {
 					best, bestCost = o, c
 				}
