Incidents: a cut machine isn't one that never came up; returns are logged once

Cause: after a change of leaders, machines that the cloud lists as running but that had not reported yet in this term were given back by age alone (inc-4a3a).

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -140,7 +140,6 @@
 		if c.Outcome != OK {
 			for _, name := range cc.hosts {
 				if h := e.hosts[name]; h != nil {
-					h.returning = true
 					h.returnCall = false
 				}
 			}
@@ -221,6 +220,9 @@
 		}
 		h.kind, h.zone, h.spot = m.Type, m.Zone, m.Spot
 		h.listed = now
+		if m.Status == protocol.MachineRunning && h.runningAt == 0 {
+			h.runningAt = now
+		}
 		if m.Status == protocol.MachineFailed && !h.failedMachine {
 			h.failedMachine = true
 			e.n.log(Info, "machine has failed", "host", h.name, "tasks", len(h.tasks))
@@ -487,6 +489,11 @@
 			why = "again"
 		case h.failedMachine:
 			why = "it has failed"
+		case !h.up && h.runningAt > 0:
+			// It came up in an earlier term, and is cut off: it may come back.
+			if len(h.tasks) == 0 && now-h.runningAt > e.rules.lease*5 {
+				why = "it is silent"
+			}
 		case !h.up && len(h.tasks) == 0 && mt != nil && now-h.rentedAt > config.Seconds(mt.BootS*e.opt.GiveUpBoots):
 			why = "it never came up"
 		case h.up && h.session <= h.dead && now-h.heard > e.rules.lease*5:
@@ -502,7 +509,9 @@
 		if why == "" {
 			continue
 		}
-		e.n.log(Info, "machine returned", "host", h.name, "type", h.kind, "why", why)
+		if !h.returning { // once, however often it has to be asked for
+			e.n.log(Info, "machine returned", "host", h.name, "type", h.kind, "why", why)
+		}
 		back = append(back, h.name)
 	}
 	if len(back) == 0 {
@@ -511,8 +520,10 @@
 	slices.SortFunc(back, cmp.Compare)
 	if e.cloud(CloudCall{Op: CloudReturn, Hosts: back}, cloudCall{op: CloudReturn, hosts: back}) {
 		for _, name := range back {
-			h := e.hosts[name]
-			h.returning, h.returnCall = true, true
+			e.hosts[name].returnCall = true
 		}
 	}
+	for _, name := range back {
+		e.hosts[name].returning = true // nothing new goes there, whenever the call gets through
+	}
 }
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -15,6 +15,7 @@
 	rentedAt               time.Duration // as far as known
 	up                     bool          // has reported in this term
 	listed                 time.Duration // when the cloud last listed it
+	runningAt              time.Duration // when the cloud first listed it as running; 0: hasn't
 	failedMachine          bool
 
 	session, seq   int64         // of the newest message
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -522,3 +522,23 @@
 	}
 	check(t, w)
 }
+
+// An empty machine is cut off while the leader ends. The successor hears of it
+// only from the cloud's list, where it runs: it is not taken for one that never
+// came up, and is there when the cut is over.
+func TestCutMachineIsNotTakenForOneThatNeverCameUp(t *testing.T) {
+	w := world(t)
+	hosts := spare(t, w)
+	cut := w.Now + 20*time.Second
+	w.Network = func(_, from, to string) fake.Fate {
+		f := fake.Well()
+		f.LoseRequest = w.Now < cut && (from == hosts[0] || to == hosts[0])
+		return f
+	}
+	w.Nodes[0].Crash()
+	w.Run(25 * time.Second)
+	if log := strings.Join(w.Log, "\n"); strings.Contains(log, "machine returned [host "+hosts[0]) {
+		t.Errorf("given back\n%s", log)
+	}
+	check(t, w)
+}
