--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -30,6 +30,7 @@
 	planAt   time.Duration
 	back     time.Duration // no calls before, after trouble
 	counter  int
+	sayAt    time.Duration // when the fleet is summed up next in the log
 }
 
 type offer struct {
@@ -102,11 +103,62 @@
 	if len(f.types) == 0 || f.lists == 0 || now < e.ledAt+config.Seconds(e.opt.TakeoverS) && len(e.hosts) > 0 {
 		return
 	}
+	if now >= f.sayAt {
+		f.sayAt = now + 5*e.rules.lease
+		e.say()
+	}
 	e.schedule = e.schedule || len(f.unplaced) > 0
 	need := e.plan()
 	e.giveBack(need)
 }
 
+// say sums the fleet up, a line for each kind of machine.
+func (e *engine) say() {
+	type sum struct {
+		up, booting, empty, silent int
+		used, all                  need
+	}
+	sums := map[string]*sum{}
+	var kinds []string
+	for _, h := range e.byName {
+		mt := e.fleet.kind(h.kind)
+		if mt == nil {
+			continue
+		}
+		name := h.kind
+		if h.spot {
+			name += " spot"
+		}
+		s := sums[name]
+		if s == nil {
+			s = &sum{}
+			sums[name] = s
+			kinds = append(kinds, name)
+		}
+		switch {
+		case !h.up:
+			s.booting++
+			continue
+		case h.session <= h.dead:
+			s.silent++
+			continue
+		case len(h.tasks) == 0:
+			s.empty++
+		}
+		s.up++
+		s.all = s.all.plus(size(mt))
+		for _, t := range h.tasks {
+			s.used = s.used.plus(t.job.need)
+		}
+	}
+	slices.Sort(kinds)
+	for _, k := range kinds {
+		s := sums[k]
+		e.n.log(Info, "fleet", "type", k, "up", s.up, "booting", s.booting, "empty", s.empty, "silent", s.silent,
+			"cpus", fmt.Sprintf("%.0f/%.0f", s.used.cpus, s.all.cpus), "gpus", fmt.Sprintf("%.0f/%.0f", s.used.gpus, s.all.gpus))
+	}
+}
+
 // unheard tells whether a rented machine is known from nowhere but its rental.
 func (e *engine) unheard(name string) bool {
 	if _, gone := e.gone[name]; gone {
