--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -450,7 +450,11 @@
 		}
 	}
 	expected := float64(n) / span.Seconds() * boot
-	return int(math.Round(e.opt.WarmRoom * math.Sqrt(expected) * c.tasks))
+	warm := e.opt.WarmRoom
+	if c.sample != nil && c.sample.Shape == protocol.Array {
+		warm /= 2 // its tasks needn't all run at once
+	}
+	return int(math.Round(warm * math.Sqrt(expected) * c.tasks))
 }
 
 // pack finds the fullest bin with room.
