--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -57,8 +57,8 @@
 	return !j.Spread || use[zone] < (j.Tasks+1)/2
 }
 
-// queue sorts the jobs that wait: those within their team's guarantee, then by
-// priority, then by age.
+// queue sorts the jobs that wait: by priority, then those within their team's
+// guarantee, then by age.
 func (e *engine) queue() []*job {
 	sum := map[*team]need{}
 	var out []*job
@@ -82,9 +82,9 @@
 }
 
 func order(j *job) int {
-	n := int(j.Priority)
+	n := 2 * int(j.Priority)
 	if j.within {
-		n += 8
+		n++
 	}
 	return n
 }
