--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -514,8 +514,8 @@
 	w.Submit(beyond, 0)
 	more := service(3, 1) // blue is now beyond its four CPUs
 	more.Priority, more.CPUs, more.Types, more.Zone, more.Team = protocol.Production, 2, []string{"small"}, "b", "blue"
-	w.Submit(more, 0)
 	runs(t, w, beyond.ID, 2)
+	w.Submit(more, 0)
 	runs(t, w, more.ID, 1)
 	sure := service(2, 1)
 	sure.Priority, sure.CPUs, sure.Types, sure.Zone, sure.Team = protocol.High, 4, []string{"small"}, "b", "red"
