--- /dev/null
+++ b/internal/transport/overload_test.go
@@ -0,0 +1,86 @@
+package transport
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oakpick/internal/coordination"
+)
+
+// slowOwner takes ten milliseconds for each command, one after the other, also
+// for those whose askers have given up.
+type slowOwner struct {
+	queue chan chan struct{}
+	over  chan struct{}
+}
+
+func newSlowOwner() *slowOwner {
+	o := &slowOwner{queue: make(chan chan struct{}, 10_000), over: make(chan struct{})}
+	go func() {
+		for done := range o.queue {
+			time.Sleep(10 * time.Millisecond)
+			close(done)
+		}
+		close(o.over)
+	}()
+	return o
+}
+
+func (o *slowOwner) Do(_ any, _ Raw, wait time.Duration) coordination.Reply {
+	done := make(chan struct{})
+	o.queue <- done
+	select {
+	case <-done:
+		return coordination.Reply{Status: 200}
+	case <-time.After(wait):
+		return Busy("not decided in time")
+	}
+}
+
+func (o *slowOwner) Healthy() bool { return true }
+
+// burst has three hundred users ask for twenty seconds, each again a second
+// after an answer, and counts the answers that were of use.
+func burst(t *testing.T, limited bool) int64 {
+	t.Helper()
+	var good atomic.Int64
+	synctest.Test(t, func(t *testing.T) {
+		o := newSlowOwner()
+		limit := NewLimit(75, 2*time.Second, func() {})
+		end := time.Now().Add(20 * time.Second)
+		left := make(chan struct{}, 300)
+		for range 300 {
+			go func() {
+				for time.Now().Before(end) {
+					// What a peer has let in isn't limited again.
+					raw := Raw{Method: "GET", Path: "/v2/runs/wk-1", FromPeer: !limited}
+					if serveUser(o, limit, raw).Status == 200 {
+						good.Add(1)
+					}
+					time.Sleep(time.Second)
+				}
+				left <- struct{}{}
+			}()
+		}
+		for range 300 {
+			<-left
+		}
+		close(o.queue)
+		<-o.over
+	})
+	return good.Load()
+}
+
+// Three times more is asked than can be answered. Without a limit the queue
+// grows until whatever is answered comes too late; with it, nearly all that can
+// be done is of use. The owner could do 2000 in the time.
+func TestLimitKeepsAnswersOfUseInABurst(t *testing.T) {
+	with := burst(t, true)
+	without := burst(t, false)
+	t.Logf("answers in time: %d with the limit, %d without", with, without)
+	if with < 1500 || without > with/2 {
+		t.Errorf("%d answers in time with the limit, %d without", with, without)
+	}
+}
