--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -232,6 +232,8 @@
 		waited := float64(e.n.now.WallMs-j.SubmittedMs) / 1000
 		if left := within - waited; left > 0 && fetch > 0.9*left-0.5 {
 			c += 40
+		} else if left <= 0 && j.Shape == protocol.Service {
+			c += 0.7 * fetch // late or lost: every second that the replica is away counts
 		}
 	}
 	left := h.virtual.minus(j.need)
@@ -256,6 +258,9 @@
 	if len(h.tasks) == 0 {
 		c += 15 // an empty machine can be given back
 	}
+	if h.fails > 0 {
+		c += 50 // commands haven't been getting through to it
+	}
 	return c
 }
 
