--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -313,7 +313,7 @@
 	if h.up || mt == nil || h.returning || h.failedMachine {
 		return false
 	}
-	return e.n.now.Mono-h.rentedAt < config.Seconds(mt.BootS*2)
+	return e.n.now.Mono-h.rentedAt < config.Seconds(mt.BootS*1.5)
 }
 
 // bin is a machine, or one to be rented, in the plan.
