--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -329,18 +329,11 @@
 // served by a new one of another kind, which is up before it and costs no more
 // for each task.
 func (e *engine) sooner(j *job, b *bin, o offer) bool {
-	mt, bt := e.fleet.kind(o.kind), e.fleet.kind(b.offer.kind)
-	if b.ready == 0 || mt == nil || bt == nil || o.kind == b.offer.kind {
+	mt := e.fleet.kind(o.kind)
+	if b.ready == 0 || mt == nil || o.kind == b.offer.kind {
 		return false
 	}
-	per := func(mt *protocol.MachineType, spot bool) float64 {
-		price := mt.Price
-		if spot {
-			price = mt.SpotPrice
-		}
-		return price / float64(max(1, j.need.count(size(mt), 1<<20)))
-	}
-	return config.Seconds(mt.BootS) < b.ready && per(mt, o.spot) <= per(bt, b.offer.spot)
+	return config.Seconds(mt.BootS) < b.ready && e.perTask(j, o) <= e.perTask(j, b.offer)
 }
 
 // plan packs what waits, and the room to be kept, into what is free, coming,
@@ -371,7 +364,7 @@
 	firstNew := len(bins)
 	want := func(j *job, n int, use map[string]int, spotOnly bool) {
 		for range n {
-			b := pack(bins, j, use, spotOnly)
+			b := e.pack(bins, j, use, spotOnly)
 			o, ok := e.cheapest(j, use, n, spotOnly)
 			if b != nil && !(ok && e.sooner(j, b, o)) {
 				b.room = b.room.minus(j.need)
@@ -457,20 +450,36 @@
 	return int(math.Round(warm * math.Sqrt(expected) * c.tasks))
 }
 
-// pack finds the fullest bin with room.
-func pack(bins []*bin, j *job, use map[string]int, spotOnly bool) *bin {
+// pack finds the bin for a task: the fullest of those in use, else the empty one
+// that costs least for each such task, so that the dear ones stay unneeded.
+func (e *engine) pack(bins []*bin, j *job, use map[string]int, spotOnly bool) *bin {
 	var best *bin
+	bestKey := math.Inf(1)
 	for _, b := range bins {
 		if spotOnly && !b.offer.spot || !j.allowed(b.offer.kind, b.offer.zone, b.offer.spot) || !j.zoneOK(b.offer.zone, use) || !j.need.fits(b.room) {
 			continue
 		}
-		if best == nil || b.room.gpus+b.room.cpus/1000 < best.room.gpus+best.room.cpus/1000 {
-			best = b
+		key := b.room.gpus + b.room.cpus/1000
+		if !b.used && (b.h == nil || len(b.h.tasks) == 0) {
+			key = 1e6 * (1 + e.perTask(j, b.offer))
+		}
+		if key < bestKey {
+			best, bestKey = b, key
 		}
 	}
 	return best
 }
 
+// perTask is the hourly price of an offer for each such task that it holds.
+func (e *engine) perTask(j *job, o offer) float64 {
+	mt := e.fleet.kind(o.kind)
+	price := mt.Price
+	if o.spot {
+		price = mt.SpotPrice
+	}
+	return price / float64(max(1, j.need.count(size(mt), 1<<20)))
+}
+
 // cheapest is the offer that gives a task of the job its place for the least.
 func (e *engine) cheapest(j *job, use map[string]int, n int, spotOnly bool) (offer, bool) {
 	f, now := &e.fleet, e.n.now.Mono
