--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,7 +8,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -78,7 +77,8 @@
 	if _, err := rand.Read(seed[:]); err != nil {
 		return err
 	}
-	group, ctx := errgroup.WithContext(ctx)
+	parent := ctx
+	group, ctx := errgroup.WithContext(parent)
 	report := config.Seconds(s.Workers.Report)
 	ttl := config.Seconds(s.Workers.Lease / 5)
 	d := &daemon{
@@ -101,10 +101,10 @@
 	group.Go(func() error { d.own(); return nil })
 	group.Go(func() error { <-ctx.Done(); _ = front.Close(); return ctx.Err() })
 	log.Info("oakpick serves", "node", cfg.Node, "front", cfg.Listen, "cluster", cfg.PeerListen)
-	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+	if err := group.Wait(); parent.Err() == nil {
 		return err
 	}
-	return nil
+	return nil // what the servers say of being closed is no failure
 }
 
 // Do is the way in for requests: it hands a command to the owner.
