--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -54,7 +54,9 @@
 			}
 		}
 	}
-	return !j.Spread || use[zone] < (j.Tasks+1)/2
+	// After a change of leaders a machine's zone isn't known before it reports or
+	// is listed: a task there may be in any zone.
+	return !j.Spread || use[zone]+use[""] < (j.Tasks+1)/2
 }
 
 // queue sorts the jobs that wait: by priority, then those within their team's
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -546,3 +546,47 @@
 	}
 	check(t, w)
 }
+
+// Of a job's two tasks, which may not be in one zone, one runs and the other
+// waits for a machine elsewhere. The leader ends. The successor hears from an
+// empty machine, and not yet from the one that has the task, nor from the
+// cloud's list: it doesn't know that both are in the same zone.
+func TestUnknownZoneMayBeAnyZone(t *testing.T) {
+	w := world(t)
+	if status, answer := admin(w, 0, coordination.AdminChange, `{"warm_room": 0}`); status != 200 {
+		t.Fatal(answer)
+	}
+	first := service(1, 2)
+	first.CPUs, first.Zone, first.Types = 4, "a", []string{"small"}
+	j := w.Submit(first, 0)
+	runs(t, w, first.ID, 2)
+	w.CancelJob(j) // leaves two empty machines in zone a
+	w.Run(3 * time.Second)
+	w.Cloud.Down = true
+	s := service(2, 2)
+	s.CPUs, s.Spread, s.Types = 4, true, []string{"small"}
+	w.Submit(s, 0)
+	runs(t, w, s.ID, 1)
+	w.Run(3 * time.Second)
+	cut, calls := w.On(s.ID)[0], 0
+	w.Nodes[0].Crash()
+	w.Cloud.Down = false
+	w.Network = func(kind, from, to string) fake.Fate {
+		f := fake.Well()
+		f.LoseRequest = from == cut || to == cut
+		if kind == "cloud" { // the types come before the list
+			calls++
+			f.Request = time.Duration(min(calls, 2)) * time.Second * 3 / 4
+		}
+		return f
+	}
+	w.Run(9 * time.Second)
+	check(t, w)
+	if w.Leader() == nil || w.Running(s.ID) != 1 {
+		t.Errorf("%d run", w.Running(s.ID))
+	}
+	cut = ""
+	w.Network = nil
+	runs(t, w, s.ID, 2)
+	check(t, w)
+}
