--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -54,7 +54,7 @@
 			}
 		}
 	}
-	// After a change of leaders a machine's zone isn't known before it reports or
+	// After a change of leaders a machine's zone isn't known until it reports or
 	// is listed: a task there may be in any zone.
 	return !j.Spread || use[zone]+use[""] < (j.Tasks+1)/2
 }
