--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -80,7 +80,7 @@
 		r := j.JobRecord
 		r.Full = j.full.Text()
 		v.Jobs = append(v.Jobs, r)
-		if b.try == 0 && len(b.done) == 0 && len(b.starts) == 0 {
+		if len(b.starts) == 0 && (j.full.Has(0) || b.try == 0 && len(b.done) == 0) {
 			return
 		}
 	}
@@ -266,7 +266,14 @@
 		for _, r := range p.value.Blocks {
 			j := e.jobs[r.Job]
 			if j == nil {
-				return nil, fmt.Errorf("block of unknown job %s", r.Job)
+				// The job's final state and the end of its other blocks are on
+				// different pages, so the leader may have ended between the two.
+				// Anything else is damage, which must not end the whole service:
+				// the job is lost, and what it has on machines is stopped.
+				if e.finals[r.Job] == nil {
+					n.log(Error, "a block of an unknown job is dropped", "job", r.Job, "block", r.Block, "starts", len(r.Starts))
+				}
+				continue
 			}
 			b := j.blocks[r.Block]
 			if b == nil {
@@ -307,9 +314,12 @@
 	}
 	b.try, b.done = r.Try, done
 	if j.full.Has(b.number) {
-		// Its completion is recorded in the first block; it was about to go.
-		e.book.Remove(e.n.now.Mono, b, nil)
-		delete(j.blocks, b.number)
+		// Its completion is recorded in the first block; it was about to go. The
+		// first block itself stays, since it carries the job's record.
+		if b.number != 0 {
+			e.book.Remove(e.n.now.Mono, b, nil)
+			delete(j.blocks, b.number)
+		}
 		return nil
 	}
 	for i := range j.blockLen(b.number) {
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -382,6 +382,74 @@
 	check(t, w)
 }
 
+// The leader ends when the first of a job's blocks is wholly done and others are
+// not. The first block carries the job's own record, which has to stay.
+func TestFirstBlockDoneWhenTheLeaderEnds(t *testing.T) {
+	w := world(t)
+	s := job(1, protocol.Array, 30)
+	s.SaveEach, s.Team = 0, "red" // whose limit lets a block's worth run at once
+	j := w.Submit(s, 8*time.Second)
+	firstDone := func() bool {
+		for i := range 12 {
+			if !j.DoneTasks[i] {
+				return false
+			}
+		}
+		return true
+	}
+	if !w.Until(60*time.Second, firstDone) || len(j.DoneTasks) == 30 {
+		t.Fatalf("%d tasks done", len(j.DoneTasks))
+	}
+	w.Run(3 * time.Second) // that is reported and written
+	w.Nodes[0].Crash()
+	for range 20 {
+		w.Run(3 * time.Second)
+		w.PollAll()
+	}
+	check(t, w)
+	served(t, w)
+}
+
+// A job's last task is done, and the leader ends after any of the writes that
+// say so: the final state may be durable while other pages still have blocks
+// of the job.
+func TestLeaderEndsBetweenTheWritesOfAnEnd(t *testing.T) {
+	for writes := range 6 {
+		settings := fake.Settings()
+		settings.State.TxnOps = 1
+		w := fake.NewWorld(settings)
+		s := job(1, protocol.Array, 30)
+		s.SaveEach = 0
+		j := w.Submit(s, 3*time.Second)
+		if !w.Until(60*time.Second, func() bool { return len(j.DoneTasks) == 30 }) {
+			t.Fatalf("%d tasks done", len(j.DoneTasks))
+		}
+		from, ended := w.State.PageWrites, false
+		w.Network = func(kind, _, _ string) fake.Fate {
+			if l := w.Leader(); kind == "state" && l != nil && !ended && w.State.PageWrites >= from+writes {
+				ended = true
+				w.After(0, l.Crash) // its next write goes unsent
+				return fake.Fate{LoseRequest: true}
+			}
+			return fake.Well()
+		}
+		w.Run(10 * time.Second)
+		for _, n := range w.Nodes {
+			if !n.Up {
+				n.Start()
+			}
+		}
+		for range 8 {
+			w.Run(3 * time.Second)
+			w.PollAll()
+		}
+		if !ended || j.Told != protocol.StatusDone {
+			t.Errorf("after %d writes: ended %t, told %q\n%s", writes, ended, j.Told, strings.Join(w.Log[max(0, len(w.Log)-10):], "\n"))
+		}
+		check(t, w)
+	}
+}
+
 // What is over stays known when every process has ended.
 func TestFinalStatesOutliveAllProcesses(t *testing.T) {
 	w := world(t)
