Answers of an earlier reign no longer reach the next engine of the same node

Found by reading, after the broken books: the state service's answers were kept apart by call, not by reign. A leader that lost its lease while it looked whether its write had landed, and led again within the second, took the late answer for one about its new term and stepped down, or read a nil flight. The story names the ordering and fails without the change.

--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"oakpick/internal/bookkeeping"
+	"oakpick/internal/config"
 	"oakpick/internal/coordination"
 	"oakpick/internal/fake"
 	"oakpick/internal/protocol"
@@ -658,3 +660,69 @@
 	runs(t, w, s.ID, 2)
 	check(t, w)
 }
+
+// A leader looks whether an earlier copy of its write landed, loses its lease
+// before the answer, and leads again. The answer, which was about the earlier
+// term's write, comes then: it says nothing about the new term.
+func TestAnswerFromAnEarlierReign(t *testing.T) {
+	settings := fake.Settings()
+	n := coordination.New(&config.Config{Node: "n0", Settings: settings}, "boot", 1)
+	var held, renewal bookkeeping.StateCall
+	term, writes := int64(0), 0
+	now := coordination.Now{}
+	var give func(commands ...any)
+	give = func(commands ...any) {
+		now.Mono += time.Millisecond
+		for _, effect := range n.Step(now, commands) {
+			c, ok := effect.(bookkeeping.StateCall)
+			if !ok {
+				continue
+			}
+			r := bookkeeping.StateResult{ID: c.ID}
+			switch {
+			case c.Op == bookkeeping.StateGet && c.Key == coordination.LeaderKey:
+				r.Outcome = bookkeeping.NotFound
+			case c.Op == bookkeeping.StateGet:
+				held = c
+				continue
+			case c.Op == bookkeeping.StateRenew:
+				renewal = c
+				continue
+			case len(c.Txn.Then) > 0 && c.Txn.Then[0].Put == coordination.LeaderKey:
+				term += 10
+				r.Number = term
+			case len(c.Txn.Then) > 0:
+				writes++
+				r.Outcome = bookkeeping.Conflict
+			default:
+				r.Number = 7
+			}
+			give(r)
+		}
+	}
+	leads := func() bool { return n.Role() == "leader" }
+	tick := func() {
+		now.Mono += 500 * time.Millisecond
+		give(coordination.Tick{})
+	}
+	tick()
+	if !leads() {
+		t.Fatal("does not lead")
+	}
+	give(coordination.AdminCall{ID: 1, Kind: coordination.AdminChange, Body: []byte(`{"sample": 7}`)})
+	if writes != 1 || held.ID == 0 {
+		t.Fatalf("%d writes, %+v looked at", writes, held)
+	}
+	give(bookkeeping.StateResult{ID: renewal.ID, Outcome: bookkeeping.NotFound})
+	if leads() {
+		t.Fatal("leads without a lease")
+	}
+	tick()
+	if !leads() || term != 20 {
+		t.Fatalf("does not lead again, term %d", term)
+	}
+	give(bookkeeping.StateResult{ID: held.ID, Entry: protocol.Entry{Key: held.Key, Version: 3}})
+	if !leads() {
+		t.Error("the late answer ended the new term")
+	}
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -123,6 +123,9 @@
 	t := &n.term
 	n.log(Info, "term lost", "term", t.own, "why", why)
 	n.engine = nil
+	// An answer that is still to come belongs to this reign: the next engine of
+	// this node must not take it for one of its own.
+	t.calls = nil
 	t.own, t.lease, t.loading, t.acquire = 0, 0, nil, nil
 	t.leader, t.until = "", 0
 	n.lookLater()
