--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -33,7 +33,7 @@
 	w := cfg.Settings.Workers
 	return Options{
 		WriteShare: 0.5, Sample: 64, IdleS: 4 * w.Lease, WarmRoom: 3,
-		PreemptMostS: 50 * w.Lease, GiveUpBoots: 4, TakeoverS: 1.5 * w.Report, MovesPerMin: 60,
+		PreemptMostS: 50 * w.Lease, GiveUpBoots: 4, TakeoverS: 1.5 * w.Report, MovesPerMin: 6 * cfg.Settings.State.WriteRPS,
 	}
 }
 
--- a/internal/coordination/consolidate.go
+++ b/internal/coordination/consolidate.go
@@ -1,70 +1,120 @@
 package coordination
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"oakpick/internal/config"
 	"oakpick/internal/protocol"
 )
 
-// consolidate moves replicas off a machine that is little used, so that it can
-// be given back. Only replicas are moved, only to machines that are up, have
-// room beyond what is kept free and hold the image, so that a replica is away
-// for no longer than two messages and a write take.
+// consolidate moves replicas off machines that cost more than they are worth, so
+// that they can be given back. Only replicas are moved, only to machines that
+// are up, have room beyond what is kept free and hold the image, so that a
+// replica is away for no longer than two messages and a write take.
 func (e *engine) consolidate(bins []*bin) {
 	f, now := &e.fleet, e.n.now.Mono
-	draining := 0
+	for _, w := range f.unplaced {
+		if w.tasks > 0 && !w.job.Spot {
+			// Room is short: what was to be emptied is used again.
+			for _, h := range e.byName {
+				h.draining = false
+			}
+			return
+		}
+	}
+	if e.opt.MovesPerMin == 0 || now-e.ledAt < config.Seconds(e.opt.IdleS) {
+		return
+	}
+	alive, draining := 0, 0
 	for _, h := range e.byName {
 		if h.draining && h.noticeAt == 0 && !h.returning {
 			draining++
+		} else if e.alive(h) {
+			alive++
 		}
 	}
-	if len(f.unplaced) > 0 {
-		// Room is short: what was to be emptied is used again.
-		for _, h := range e.byName {
-			h.draining = false
+	e.drainSome(bins, 1+alive/drainShare-draining)
+	// What wasn't used of the moves allowed is kept for a second.
+	e.moveAt = max(e.moveAt, now-time.Second)
+	// Replicas that are on their way have been promised their places.
+	promised := map[*host]need{}
+	for _, j := range e.order {
+		if j.prefer != nil {
+			promised[j.prefer] = promised[j.prefer].plus(j.need)
 		}
-		return
-	}
-	if e.opt.MovesPerMin == 0 {
-		return
-	}
-	if draining == 0 && now-e.ledAt > config.Seconds(e.opt.IdleS) {
-		e.drainOne(bins)
 	}
 	for _, h := range e.byName {
 		if h.draining {
-			e.moveOne(h)
+			e.moveOne(h, promised)
 		}
 	}
 }
 
-// drainOne picks the machine that costs most for each replica to be moved.
-func (e *engine) drainOne(bins []*bin) {
-	var best *host
-	bestWorth := 0.0
+const (
+	// drainShare is the part of the machines that are emptied at a time.
+	drainShare = 16
+	// drainTries is how many machines a pass looks at closely, at most.
+	drainTries = 8
+	// dearer is how many times as much a task's place may cost on the machine
+	// that it is moved to.
+	dearer = 2
+)
+
+// drainSome picks the machines that save most for what has to be moved.
+func (e *engine) drainSome(bins []*bin, most int) {
+	type candidate struct {
+		h     *host
+		worth float64
+	}
+	var list []candidate
+	now := e.n.now.Mono
 	for _, b := range bins {
 		h := b.h
-		if h == nil || b.used || !e.alive(h) || len(h.tasks) == 0 || len(h.tasks) > 6 || len(h.others) > 0 {
+		if h == nil || b.used || !e.alive(h) || len(h.tasks) == 0 || len(h.others) > 0 || now < h.drainNext {
 			continue
 		}
-		mt := e.fleet.kind(h.kind)
-		price := mt.Price
-		if h.spot {
-			price = mt.SpotPrice
+		price, excess := e.fleet.price(b.offer), 0.0
+		for _, t := range h.tasks {
+			excess += e.perTask(t.job, b.offer) / e.leastPerTask(t.job)
 		}
-		if worth := price / float64(len(h.tasks)); worth > bestWorth && e.movable(h, bins) {
-			best, bestWorth = h, worth
+		n := float64(len(h.tasks))
+		list = append(list, candidate{h, price * excess / n / (2 + n)})
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(b.worth, a.worth) })
+	taken := map[*bin]need{}
+	for _, c := range list[:min(len(list), drainTries)] {
+		if most <= 0 {
+			return
+		}
+		if !e.movable(c.h, bins, taken) {
+			c.h.drainNext = now + e.rules.lease/2
+			continue
 		}
+		most--
+		c.h.draining = true
+		e.n.log(Info, "machine is emptied", "host", c.h.name, "type", c.h.kind, "tasks", len(c.h.tasks))
 	}
-	if best != nil {
-		best.draining = true
-		e.n.log(Info, "machine is emptied", "host", best.name, "type", best.kind, "tasks", len(best.tasks))
+}
+
+// leastPerTask is the least that a place for a task of the job costs on any
+// ordinary machine.
+func (e *engine) leastPerTask(j *job) float64 {
+	least := math.Inf(1)
+	for i := range e.fleet.types {
+		mt := &e.fleet.types[i]
+		if j.need.fits(size(mt)) && (j.AnyType || slices.Contains(j.Types, mt.Name)) {
+			least = min(least, e.perTask(j, offer{kind: mt.Name}))
+		}
 	}
+	return least
 }
 
-// movable tells whether all of a machine's replicas have places elsewhere.
-func (e *engine) movable(h *host, bins []*bin) bool {
+// movable tells whether all of a machine's replicas have places elsewhere, and
+// takes these from the room that this pass may still give.
+func (e *engine) movable(h *host, bins []*bin, taken map[*bin]need) bool {
 	room := map[*bin]need{}
 	for _, t := range h.tasks {
 		j := t.job
@@ -76,35 +126,32 @@
 		}
 		use := j.zoneUse()
 		use[h.zone]--
-		var to *bin
-		for _, b := range bins {
-			if b.h == nil || b.h == h || len(b.h.tasks) == 0 || !e.fitsMove(j, b.h, use) {
-				continue
-			}
-			left, ok := room[b]
-			if !ok {
-				left = b.room
-			}
-			if j.need.fits(left) {
-				room[b] = left.minus(j.need)
-				to = b
-				break
-			}
-		}
-		if to == nil {
+		i := slices.IndexFunc(bins, func(b *bin) bool {
+			return b.h != nil && j.need.fits(b.room.minus(room[b]).minus(taken[b])) && e.fitsMove(j, h, b.h, use)
+		})
+		if i < 0 {
 			return false
 		}
+		room[bins[i]] = room[bins[i]].plus(j.need)
+	}
+	for b, n := range room {
+		taken[b] = taken[b].plus(n)
 	}
 	return true
 }
 
-func (e *engine) fitsMove(j *job, h *host, use map[string]int) bool {
-	return e.alive(h) && j.allowed(h.kind, h.zone, h.spot) && j.zoneOK(h.zone, use) && !j.failedOn[h.name] && h.fetchTime(e, j) == 0
+// fitsMove tells whether a replica may be moved from one machine to another, as
+// far as anything but room goes. The other machine's offer may cost more, but
+// not much: room there is free now, but taking it keeps that machine.
+func (e *engine) fitsMove(j *job, from, to *host, use map[string]int) bool {
+	return to != from && len(to.tasks) > 0 && e.alive(to) && j.allowed(to.kind, to.zone, to.spot) && j.zoneOK(to.zone, use) &&
+		!j.failedOn[to.name] && to.fetchTime(e, j) == 0 &&
+		e.perTask(j, offer{to.kind, to.zone, to.spot}) <= dearer*e.perTask(j, offer{from.kind, from.zone, from.spot})
 }
 
 // moveOne stops a replica of a machine that is being emptied, if a place is
 // ready for it and its job has no other on the move.
-func (e *engine) moveOne(h *host) {
+func (e *engine) moveOne(h *host, promised map[*host]need) {
 	now := e.n.now.Mono
 	if now < e.moveAt {
 		return
@@ -123,13 +170,15 @@
 		use := j.zoneUse()
 		use[h.zone]--
 		for _, to := range e.byName {
-			if to != h && len(to.tasks) > 0 && e.fitsMove(j, to, use) && j.need.fits(e.free(to)) {
-				e.n.Stats.Moved++
-				e.moveAt = now + time.Duration(float64(time.Minute)/e.opt.MovesPerMin)
-				j.prefer = to
-				e.preemptTask(t, "moved to free its machine")
-				return
+			if !j.need.fits(e.free(to).minus(promised[to])) || !e.fitsMove(j, h, to, use) {
+				continue
 			}
+			e.n.Stats.Moved++
+			e.moveAt += time.Duration(float64(time.Minute) / e.opt.MovesPerMin)
+			j.prefer = to
+			promised[to] = promised[to].plus(j.need)
+			e.preemptTask(t, "moved to free its machine")
+			return
 		}
 	}
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -53,6 +53,15 @@
 	return nil
 }
 
+// price is what a machine costs an hour.
+func (f *fleet) price(o offer) float64 {
+	mt := f.kind(o.kind)
+	if o.spot {
+		return mt.SpotPrice
+	}
+	return mt.Price
+}
+
 func size(mt *protocol.MachineType) need { return need{mt.CPUs, mt.GPUs, mt.MemoryGB} }
 
 func (e *engine) cloud(c CloudCall, cc cloudCall) bool {
@@ -403,7 +412,7 @@
 	for _, o := range offers {
 		e.rent(o, min(counts[o], 50))
 	}
-	if len(offers) == 0 {
+	if !slices.ContainsFunc(offers, func(o offer) bool { return !o.spot }) {
 		e.consolidate(bins)
 	}
 	needed := map[*host]bool{}
@@ -472,12 +481,7 @@
 
 // perTask is the hourly price of an offer for each such task that it holds.
 func (e *engine) perTask(j *job, o offer) float64 {
-	mt := e.fleet.kind(o.kind)
-	price := mt.Price
-	if o.spot {
-		price = mt.SpotPrice
-	}
-	return price / float64(max(1, j.need.count(size(mt), 1<<20)))
+	return e.fleet.price(o) / float64(max(1, j.need.count(size(e.fleet.kind(o.kind)), 1<<20)))
 }
 
 // cheapest is the offer that gives a task of the job its place for the least.
@@ -503,11 +507,7 @@
 				if spotOnly && !spot || !j.allowed(mt.Name, z, spot) || !j.zoneOK(z, use) || now < f.refused[o] {
 					continue
 				}
-				price := mt.Price
-				if spot {
-					price = mt.SpotPrice
-				}
-				c := price / float64(slots) * (1 + 0.01*float64(use[z]))
+				c := f.price(o) / float64(slots) * (1 + 0.01*float64(use[z]))
 				if c < bestCost {
 					best, bestCost = o, c
 				}
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -44,7 +44,8 @@
 	failedJobs map[string]bool
 	sick       bool
 	returning  bool
-	draining   bool // is being emptied
+	draining   bool          // is being emptied
+	drainNext  time.Duration // until when not to look again whether it can be
 	returnCall bool
 	emptySince time.Duration
 	images     []image // most recently used last
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -726,3 +726,43 @@
 		t.Error("the late answer ended the new term")
 	}
 }
+
+// A replica that needs no GPU is left alone on a machine with GPUs, and there is
+// room on a cheap one: it moves there, and the dear machine is given back. From
+// the cheap one it isn't moved to a dear one, however little is used.
+func TestReplicasMoveFromDearToCheapMachines(t *testing.T) {
+	w := world(t)
+	w.Run(2 * time.Second)
+	if status, answer := admin(w, 0, coordination.AdminChange, `{"warm_room": 0, "idle_s": 5}`); status != 200 {
+		t.Fatal(answer)
+	}
+	kind := func(j *fake.Job) string { return w.KindOf(w.On(j.Sub.ID)[0]) }
+	gpu := service(1, 1)
+	gpu.GPUs = 1
+	c := w.Submit(gpu, 0)
+	runs(t, w, gpu.ID, 1)
+	d := w.Submit(service(2, 1), 0)
+	runs(t, w, d.Sub.ID, 1)
+	small := service(3, 1)
+	small.Types = []string{"small"}
+	f := w.Submit(small, 0)
+	runs(t, w, small.ID, 1)
+	if kind(d) != "large" {
+		t.Fatalf("on a %s machine at first", kind(d))
+	}
+	w.CancelJob(c)
+	w.Run(60 * time.Second)
+	if kind(d) != "small" || len(w.On(d.Sub.ID)) != 1 {
+		t.Errorf("still on a %s machine", kind(d))
+	}
+	w.CancelJob(f)
+	gpu.ID = "wk-000004"
+	w.Submit(gpu, 0)
+	runs(t, w, gpu.ID, 1)
+	w.Run(60 * time.Second)
+	if kind(d) != "small" {
+		t.Errorf("moved to a %s machine", kind(d))
+	}
+	check(t, w)
+	served(t, w)
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -118,7 +118,7 @@
 func Types() []protocol.MachineType {
 	return []protocol.MachineType{
 		{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 100, FetchRate: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: []string{"a", "b"}},
-		{Name: "large", CPUs: 8, GPUs: 2, MemoryGB: 64, CacheGB: 100, FetchRate: 2, Price: 4, SpotPrice: 1.5, BootS: 8, Zones: []string{"a"}},
+		{Name: "large", CPUs: 8, GPUs: 2, MemoryGB: 64, CacheGB: 100, FetchRate: 2, Price: 4.4, SpotPrice: 1.5, BootS: 8, Zones: []string{"a"}},
 	}
 }
 
@@ -631,6 +631,9 @@
 	}
 }
 
+// KindOf is a machine's type.
+func (w *World) KindOf(name string) string { return w.Workers[name].m.Type }
+
 // Session is a worker's present session.
 func (w *World) Session(name string) int64 { return w.Workers[name].session }
 
