--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -60,7 +60,7 @@
 	gangRan     bool // the present attempt has begun to run
 	gangEnding  bool // and is to end before the next
 	idleSince   time.Duration
-	holdUntil   time.Duration // until when it may wait for a better machine; 0: has not
+	holdUntil   time.Duration // until when it may wait for a better machine; 0: hasn't
 	prefer      *host         // where a replica that is being moved is to go
 }
 
@@ -184,7 +184,6 @@
 	moveAt    time.Duration
 
 	schedule bool // something changed that may let a task start
-	waiting  int  // tasks that wait for machines about to be up, in the present pass
 	fleet    fleet
 	classes  map[string]*class
 	within   map[string]float64 // seconds within which a class's tasks should start
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -105,7 +105,6 @@
 	if len(q) == 0 {
 		return
 	}
-	e.waiting = 0
 	for _, h := range e.byName {
 		h.virtual = e.free(h)
 	}
@@ -195,9 +194,7 @@
 }
 
 // betterSoon tells whether a task should rather wait for a machine that is about
-// to be up than have its image fetched after others on this one. Machines that
-// have booted for most of their time come up one after the other; those that
-// wait already take the first of them.
+// to be up than have its image fetched beside another one: both would be late.
 func (e *engine) betterSoon(j *job, h *host) bool {
 	now := e.n.now.Mono
 	mt := e.fleet.kind(h.kind)
@@ -205,47 +202,27 @@
 		return false
 	}
 	own := j.ImageGB / mt.FetchRate
-	queued := h.fetchTime(e, j) - own
-	if own < 1 || queued < 0.3*own {
+	if own < 1 || h.fetchTime(e, j) < 1.3*own {
 		return false
 	}
-	if j.Shape != protocol.Service {
-		// Work that ends makes room for itself; it doesn't wait for long.
-		if j.holdUntil == 0 {
-			j.holdUntil = now + config.Seconds(own/2)
-		}
-		if now >= j.holdUntil {
-			return false
-		}
+	if j.holdUntil == 0 {
+		j.holdUntil = now + config.Seconds(own/2)
+	}
+	if now >= j.holdUntil {
+		return false
 	}
-	soon, boot, slots := 0, 0.0, 0
 	for _, x := range e.byName {
 		if !e.coming(x) || !j.allowed(x.kind, x.zone, x.spot) {
 			continue
 		}
-		mt := e.fleet.kind(x.kind)
-		if age := (now - x.rentedAt).Seconds(); age > mt.BootS*bootEarly && age < mt.BootS*bootLate {
-			soon++
-			boot, slots = max(boot, mt.BootS), max(slots, j.need.count(size(mt), j.Tasks))
+		boot := config.Seconds(e.fleet.kind(x.kind).BootS)
+		if age := now - x.rentedAt; age > boot-config.Seconds(own/2) && age < boot*5/4 {
+			return true
 		}
 	}
-	if soon == 0 {
-		return false
-	}
-	ahead := float64(e.waiting) / float64(max(1, slots))
-	if (1+ahead)*boot*(bootLate-bootEarly)/float64(1+soon) > queued {
-		return false
-	}
-	e.waiting++
-	return true
+	return false
 }
 
-// Most machines are up between these parts of their type's boot time.
-const (
-	bootEarly = 0.8
-	bootLate  = 1.25
-)
-
 // cost ranks machines for a task. Packing comes first, since a machine that
 // empties can be given back; the image's fetch counts for little, unless it
 // would make the start late by its class's aim.
