--- a/internal/coordination/consolidate.go
+++ b/internal/coordination/consolidate.go
@@ -76,12 +76,18 @@
 		if h == nil || b.used || !e.alive(h) || len(h.tasks) == 0 || len(h.others) > 0 || now < h.drainNext {
 			continue
 		}
-		price, excess := e.fleet.price(b.offer), 0.0
+		price, excess, replicas := e.fleet.price(b.offer), 0.0, false
 		for _, t := range h.tasks {
 			excess += e.perTask(t.job, b.offer) / e.leastPerTask(t.job)
+			replicas = replicas || t.job.Shape == protocol.Service
+		}
+		if !replicas {
+			continue // what is on it ends by itself, and its room is for more of that
 		}
 		n := float64(len(h.tasks))
-		list = append(list, candidate{h, price * excess / n / (2 + n)})
+		// Dear types go first even if more has to be moved: the cheap ones may be
+		// used up, and are not to be given back for a few moves less.
+		list = append(list, candidate{h, price * math.Pow(excess/n, 3) / (2 + n)})
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(b.worth, a.worth) })
 	taken := map[*bin]need{}
