--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -31,9 +31,9 @@
 	sec := config.Seconds
 	lease := sec(w.Lease * (1 + drift))
 	r := Rules{
-		ttl:    sec(w.Lease / 5),
-		renew:  sec(w.Lease / 25),
-		poll:   sec(w.Lease / 30),
+		ttl:    sec(w.Lease / 10),
+		renew:  sec(w.Lease / 50),
+		poll:   sec(w.Lease / 60),
 		hold:   sec(w.Lease * 2),
 		lease:  lease + sec(w.Report/20),
 		report: sec(w.Report),
@@ -42,6 +42,6 @@
 		raise:  sec(w.Lease / 4),
 		cancel: sec(w.Cancel - w.Lease*(1+2*drift) - w.Report),
 	}
-	r.healthFor = r.ttl * 3
+	r.healthFor = r.ttl * 6
 	return r
 }
