--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -357,7 +357,13 @@
 		}
 		switch {
 		case e.alive(h):
-			bins = append(bins, &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: e.free(h)})
+			b := &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: e.free(h)}
+			for _, t := range h.tasks {
+				if t.stopping { // its place is free long before a new machine is up
+					b.room = b.room.plus(t.job.need)
+				}
+			}
+			bins = append(bins, b)
 		case e.coming(h):
 			boot := max(config.Seconds(mt.BootS)-(e.n.now.Mono-h.rentedAt), config.Seconds(mt.BootS/10))
 			bins = append(bins, &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: size(mt), ready: boot})
