--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -332,23 +332,6 @@
 	room  need
 	ready time.Duration // until it is up
 	used  bool
-	// yields is what batch work of each priority holds that may run on spot
-	// machines: it makes way for replicas of a higher one.
-	yields map[protocol.Priority]need
-}
-
-// roomFor is the room that a replica may come to have there, if warm room is
-// what is asked for: it needn't be empty as long as it is given up at once.
-func (b *bin) roomFor(j *job, warm bool) need {
-	room := b.room
-	if warm && j.Shape == protocol.Service {
-		for p, n := range b.yields {
-			if p < j.Priority {
-				room = room.plus(n)
-			}
-		}
-	}
-	return room
 }
 
 // sooner tells whether a task that would wait for a booting machine is better
@@ -376,14 +359,8 @@
 		case e.alive(h):
 			b := &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: e.free(h)}
 			for _, t := range h.tasks {
-				switch j := t.job; {
-				case t.stopping: // its place is free long before a new machine is up
-					b.room = b.room.plus(j.need)
-				case !h.spot && j.Spot && j.Shape == protocol.Array && j.saves():
-					if b.yields == nil {
-						b.yields = map[protocol.Priority]need{}
-					}
-					b.yields[j.Priority] = b.yields[j.Priority].plus(j.need)
+				if t.stopping { // its place is free long before a new machine is up
+					b.room = b.room.plus(t.job.need)
 				}
 			}
 			bins = append(bins, b)
@@ -400,9 +377,9 @@
 		}
 	}
 	firstNew := len(bins)
-	want := func(j *job, n int, use map[string]int, warm, spotOnly bool) {
+	want := func(j *job, n int, use map[string]int, spotOnly bool) {
 		for range n {
-			b := e.pack(bins, j, use, warm, spotOnly)
+			b := e.pack(bins, j, use, spotOnly)
 			o, ok := e.cheapest(j, use, n, spotOnly)
 			if b != nil && !(ok && e.sooner(j, b, o)) {
 				b.room = b.room.minus(j.need)
@@ -420,14 +397,14 @@
 	}
 	for _, w := range f.unplaced {
 		if !w.job.over && !w.job.Cancelled {
-			want(w.job, min(w.tasks, w.job.idle()), w.job.zoneUse(), false, false)
+			want(w.job, min(w.tasks, w.job.idle()), w.job.zoneUse(), false)
 		}
 	}
 	for _, name := range e.classNames() {
 		if c := e.classes[name]; c.sample != nil {
 			// Room for what may use spot machines is kept on those only: it isn't
 			// worth an ordinary machine.
-			want(c.sample, e.warmTasks(c), map[string]int{}, true, c.sample.Spot)
+			want(c.sample, e.warmTasks(c), map[string]int{}, c.sample.Spot)
 		}
 	}
 	counts := map[offer]int{}
@@ -490,11 +467,11 @@
 
 // pack finds the bin for a task: the fullest of those in use, else the empty one
 // that costs least for each such task, so that the dear ones stay unneeded.
-func (e *engine) pack(bins []*bin, j *job, use map[string]int, warm, spotOnly bool) *bin {
+func (e *engine) pack(bins []*bin, j *job, use map[string]int, spotOnly bool) *bin {
 	var best *bin
 	bestKey := math.Inf(1)
 	for _, b := range bins {
-		if spotOnly && !b.offer.spot || !j.allowed(b.offer.kind, b.offer.zone, b.offer.spot) || !j.zoneOK(b.offer.zone, use) || !j.need.fits(b.roomFor(j, warm)) {
+		if spotOnly && !b.offer.spot || !j.allowed(b.offer.kind, b.offer.zone, b.offer.spot) || !j.zoneOK(b.offer.zone, use) || !j.need.fits(b.room) {
 			continue
 		}
 		key := b.room.gpus + b.room.cpus/1000
