--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -25,7 +25,8 @@
 	calls    map[uint64]cloudCall
 	listAt   time.Duration
 	listing  bool
-	lists    int // whole lists read
+	lists    int  // whole lists read
+	open     bool // it may be changed: the wait after the take-over is over
 	seen     map[string]bool
 	planAt   time.Duration
 	back     time.Duration // no calls before, after trouble
@@ -109,9 +110,15 @@
 		f.listing = e.cloud(CloudCall{Op: CloudList}, cloudCall{op: CloudList})
 		f.seen = map[string]bool{}
 	}
-	if len(f.types) == 0 || f.lists == 0 || now < e.ledAt+config.Seconds(e.opt.TakeoverS) && len(e.hosts) > 0 {
+	if len(f.types) == 0 || f.lists == 0 {
 		return
 	}
+	// A new leader lets the machines that it has inherited report first. One that
+	// has found none needn't wait, nor for those that it rents itself.
+	if !f.open && now < e.ledAt+config.Seconds(e.opt.TakeoverS) && len(e.hosts) > 0 {
+		return
+	}
+	f.open = true
 	if now >= f.sayAt {
 		f.sayAt = now + 5*e.rules.lease
 		e.say()
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -766,3 +766,23 @@
 	check(t, w)
 	served(t, w)
 }
+
+// A first leader finds no machines and rents some; more jobs come at once. Their
+// machines are rented then, not when those of the first have had time to report.
+func TestFirstLeaderDoesNotWaitForItsOwnMachines(t *testing.T) {
+	w := world(t)
+	status, answer := admin(w, 0, coordination.AdminChange, `{"takeover_wait_s": 60, "warm_room": 0}`)
+	if status != 200 && status != 0 {
+		t.Fatal(answer)
+	}
+	for id := 1; id <= 2; id++ {
+		s := service(id, 1)
+		s.CPUs = 4
+		w.Submit(s, 0)
+		w.Run(3 * time.Second)
+	}
+	if n := w.Nodes[0].Stats().Rented; n != 2 {
+		t.Errorf("%d machines rented", n)
+	}
+	check(t, w)
+}
