--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -101,7 +101,8 @@
 		ID         uint64
 		Status     int
 		Body       []byte
-		RetryAfter int // seconds; 0: not said
+		RetryAfter int  // seconds; 0: not said
+		Close      bool // the user had better come back on a new connection, which may lead elsewhere
 	}
 	// Forward hands a UserCall to the leader.
 	Forward struct {
@@ -274,11 +275,15 @@
 }
 
 // Healthy tells whether the node can take requests: it leads with a certain
-// term, or has lately heard of a leader to hand them to.
+// term, or has lately heard of a leader and can hand them to it. Users of a node
+// that cannot are better off at another.
 func (n *Node) Healthy() bool {
 	if n.engine != nil {
 		return true
 	}
+	if n.term.leader != "" && n.now.Mono-n.term.reached > n.rules.reach {
+		return false
+	}
 	return n.now.Mono-n.term.heard < n.rules.healthFor || n.now.Mono < n.rules.healthFor
 }
 
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -18,6 +18,8 @@
 	retry     time.Duration // before a refused or lost write is sent again
 	raise     time.Duration // least time between two raises of the token
 	healthFor time.Duration
+	probe     time.Duration // between a follower's greetings to the leader
+	reach     time.Duration // after which a leader that doesn't answer them counts as out of reach
 	cancel    time.Duration // after which a machine that may not obey isn't answered
 	blockSize int
 }
@@ -43,5 +45,7 @@
 		cancel: sec(w.Cancel - w.Lease*(1+2*drift) - w.Report),
 	}
 	r.healthFor = r.ttl * 6
+	r.probe = sec(w.Lease / 12)
+	r.reach = r.probe * 5 / 2
 	return r
 }
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -786,3 +786,30 @@
 	}
 	check(t, w)
 }
+
+// Controllers refuse each other's connections: a follower sees the leader's key,
+// and can't hand it a request. It says that it isn't healthy, so that users go
+// to the leader; it is healthy again once the leader answers.
+func TestFollowerThatCannotReachTheLeader(t *testing.T) {
+	w := world(t)
+	w.Run(5 * time.Second)
+	healthy := func() []bool { return []bool{w.Nodes[0].Healthy(), w.Nodes[1].Healthy(), w.Nodes[2].Healthy()} }
+	if h := healthy(); !slices.Equal(h, []bool{true, true, true}) {
+		t.Fatalf("at first %v", h)
+	}
+	w.Network = func(kind, _, to string) fake.Fate {
+		f := fake.Well()
+		f.LoseRequest = kind == "peer" || kind == "forward"
+		return f
+	}
+	w.Run(4 * time.Second)
+	if h := healthy(); !slices.Equal(h, []bool{true, false, false}) {
+		t.Errorf("cut off from each other: %v", h)
+	}
+	w.Network = nil
+	w.Run(2 * time.Second)
+	if h := healthy(); !slices.Equal(h, []bool{true, true, true}) {
+		t.Errorf("afterwards %v", h)
+	}
+	check(t, w)
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -48,6 +48,8 @@
 
 	lookAt   time.Duration
 	looking  bool
+	reached  time.Duration // when the leader last answered a greeting, or was first heard of
+	greetAt  time.Duration
 	lease    int64
 	until    time.Duration // while the lease certainly lasts, by our clock
 	renewAt  time.Duration
@@ -106,6 +108,12 @@
 		}
 		return
 	}
+	if t.leader != "" && now >= t.greetAt {
+		// To ask a peer to let go of nothing is a greeting: whether it answers
+		// tells whether users' requests could be handed to it.
+		t.greetAt = now + n.rules.probe
+		n.emit(PeerCall{Peer: t.leader})
+	}
 	if !t.looking && now >= t.lookAt {
 		t.looking = true
 		n.state(forLook, StateCall{Op: bookkeeping.StateGet, Key: LeaderKey})
@@ -195,6 +203,7 @@
 		t.acquire = nil
 		if v.Node != n.cfg.Node {
 			if t.leader != v.Node {
+				t.reached = n.now.Mono
 				n.log(Info, "following", "leader", v.Node, "term", r.Entry.Version)
 			}
 			t.leader = v.Node
@@ -340,6 +349,12 @@
 
 func (n *Node) peerResult(r PeerResult) {
 	t := &n.term
+	if r.Term == 0 {
+		if r.Released && r.Peer == t.leader {
+			t.reached = n.now.Mono
+		}
+		return
+	}
 	if t.own == 0 || !r.Released || r.Term > t.own || r.Term < t.first() {
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -233,6 +233,7 @@
 			r, ok := d.peers.Forward(ctx, e.Peer, w.raw.Method, w.raw.Path, w.raw.Body)
 			if !ok {
 				r = transport.Busy("the leader can't be reached")
+				r.Close = true
 			}
 			w.reply <- r
 			return nil
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -221,6 +221,9 @@
 // Leads tells whether the node believes that it leads.
 func (n *Node) Leads() bool { return n.Up && n.node.Role() == "leader" }
 
+// Healthy is what the node tells the load balancer.
+func (n *Node) Healthy() bool { return n.Up && n.node.Healthy() }
+
 // Stats are the process's counts.
 func (n *Node) Stats() coordination.Stats { return n.node.Stats }
 
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -79,6 +79,9 @@
 	if r.RetryAfter > 0 {
 		ctx.Response.Header.Set("Retry-After", strconv.Itoa(r.RetryAfter))
 	}
+	if r.Close {
+		ctx.SetConnectionClose()
+	}
 	ctx.SetBody(r.Body)
 }
 
