--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -56,8 +56,9 @@
 	}
 	// LetGoCall is a new leader's question.
 	LetGoCall struct {
-		ID   uint64
-		Term int64
+		ID     uint64
+		Term   int64
+		Leader string
 	}
 	// CloudResult answers a CloudCall.
 	CloudResult struct {
@@ -281,8 +282,8 @@
 	if n.engine != nil {
 		return true
 	}
-	if n.term.leader != "" && n.now.Mono-n.term.reached > n.rules.reach {
-		return false
+	if n.term.leader != "" {
+		return n.now.Mono-n.term.reached <= n.rules.reach
 	}
 	return n.now.Mono-n.term.heard < n.rules.healthFor || n.now.Mono < n.rules.healthFor
 }
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -813,3 +813,26 @@
 	}
 	check(t, w)
 }
+
+// The state service refuses the leader alone. Another takes the term and tells
+// it so: the former leader hands its users on at once, and stays healthy, though
+// it can read nothing about who leads.
+func TestFormerLeaderRefusedByTheStateServiceFollows(t *testing.T) {
+	w := world(t)
+	a := w.Submit(service(1, 1), 0)
+	runs(t, w, a.Sub.ID, 1)
+	w.State.Cut["n0"] = true
+	if !w.Until(10*time.Second, func() bool { return w.Nodes[1].Leads() || w.Nodes[2].Leads() }) {
+		t.Fatal("nobody else leads")
+	}
+	w.Run(time.Second)
+	for range 10 {
+		status := 0
+		w.Nodes[0].Ask(coordination.UserCall{Kind: coordination.Poll, Job: a.Sub.ID}, func(r coordination.Reply) { status = r.Status })
+		w.Run(time.Second)
+		if status != 200 || !w.Nodes[0].Healthy() {
+			t.Fatalf("at %v status %d, healthy %t", w.Now, status, w.Nodes[0].Healthy())
+		}
+	}
+	check(t, w)
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -120,6 +120,15 @@
 	}
 }
 
+// follow notes who leads.
+func (n *Node) follow(leader string, term int64) {
+	t := &n.term
+	if t.leader != leader {
+		n.log(Info, "following", "leader", leader, "term", term)
+		t.leader, t.reached = leader, n.now.Mono
+	}
+}
+
 // lookLater plans the next look at the leader's key.
 func (n *Node) lookLater() {
 	n.term.looking = false
@@ -202,11 +211,7 @@
 		}
 		t.acquire = nil
 		if v.Node != n.cfg.Node {
-			if t.leader != v.Node {
-				t.reached = n.now.Mono
-				n.log(Info, "following", "leader", v.Node, "term", r.Entry.Version)
-			}
-			t.leader = v.Node
+			n.follow(v.Node, r.Entry.Version)
 		}
 		n.lookLater()
 	case NotFound:
@@ -326,10 +331,16 @@
 // no longer answers workers for it.
 func (n *Node) letGo(c LetGoCall) {
 	t := &n.term
+	news := c.Term > t.floor // no late copy of what an earlier leader said
 	t.floor = max(t.floor, c.Term-1)
 	if t.own != 0 && t.own < c.Term {
 		n.stepDown(fmt.Sprintf("a peer leads with term %d", c.Term))
 	}
+	if news && t.own == 0 && c.Leader != "" {
+		// A node that the state service alone refuses learns it only here, and
+		// can go on serving its users and send its workers there.
+		n.follow(c.Leader, c.Term)
+	}
 	n.emit(Reply{ID: c.ID, Status: 200, Body: protocol.Encode(protocol.LetGoAnswer{Released: true})})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,7 +89,7 @@
 		state:   bookkeeping.NewClient(cfg.Services.State, report/2, ttl/4),
 		workers: transport.NewWorkers(s.Workers),
 		cloud:   transport.NewCloud(cfg.Services.Cloud, s.Workers),
-		peers:   transport.NewPeers(cfg.Peers, s.Workers),
+		peers:   transport.NewPeers(cfg.Node, cfg.Peers, s.Workers),
 	}
 	d.healthy.Store(true)
 	limit := transport.NewLimit(s.Limits.MaxConnections/4, report, func() { d.metrics.shed.Add(1) })
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -378,7 +378,7 @@
 				continue
 			}
 			w.After(f.Request, func() {
-				p.deliver(coordination.LetGoCall{Term: e.Term}, func(r coordination.Reply) {
+				p.deliver(coordination.LetGoCall{Term: e.Term, Leader: n.Name}, func(r coordination.Reply) {
 					var a protocol.LetGoAnswer
 					if f.LoseAnswer || r.Status != 200 || protocol.Decode(r.Body, &a) != nil {
 						return
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -208,9 +208,11 @@
 // RenewPath is where a lease is renewed.
 func RenewPath(lease int64) string { return fmt.Sprintf("%s/%d%s", PathGrants, lease, renewSuffix) }
 
-// LetGo is what a new leader tells its peers: terms below Term are over.
+// LetGo is what a new leader tells its peers: terms below Term are over, and it
+// is the one that leads. A Term of 0 is no more than a greeting.
 type LetGo struct {
-	Term int64 `msgpack:"term"`
+	Term   int64  `msgpack:"term"`
+	Leader string `msgpack:"leader"`
 }
 
 // LetGoAnswer says whether the node has let go of every term below.
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -160,14 +160,15 @@
 // Peers speaks to the other controllers over HTTP/2 streams, one connection a peer.
 type Peers struct {
 	client *http.Client
+	own    string // our own name
 	addrs  map[string]string
 	wait   time.Duration
 }
 
 // NewPeers makes the client.
-func NewPeers(peers []config.Peer, w config.Workers) *Peers {
+func NewPeers(own string, peers []config.Peer, w config.Workers) *Peers {
 	wait := config.Seconds(w.Report / 2)
-	p := &Peers{addrs: map[string]string{}, wait: wait}
+	p := &Peers{own: own, addrs: map[string]string{}, wait: wait}
 	for _, x := range peers {
 		p.addrs[x.Name] = x.Addr
 	}
@@ -215,7 +216,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.wait)
 	defer cancel()
 	r := coordination.PeerResult{Peer: c.Peer, Term: c.Term}
-	res, raw, err := p.call(ctx, c.Peer, http.MethodPost, protocol.PathLetGo, protocol.Encode(protocol.LetGo{Term: c.Term}))
+	res, raw, err := p.call(ctx, c.Peer, http.MethodPost, protocol.PathLetGo, protocol.Encode(protocol.LetGo{Term: c.Term, Leader: p.own}))
 	if err != nil || res.StatusCode != http.StatusOK {
 		return r
 	}
