--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -229,11 +229,13 @@
 func (e *engine) cost(j *job, h *host) float64 {
 	mt := e.fleet.kind(h.kind)
 	fetch := h.fetchTime(e, j)
-	c := 1.5 * fetch
+	c := 0.8 * fetch
 	if within := e.within[j.Class]; within > 0 {
 		waited := float64(e.n.now.WallMs-j.SubmittedMs) / 1000
 		if left := within - waited; left > 0 && fetch > 0.9*left-0.5 {
 			c += 40
+		} else if left <= 0 && j.Shape == protocol.Service {
+			c += 0.2 * fetch // late or lost: every second that the replica is away counts
 		}
 	}
 	left := h.virtual.minus(j.need)
