--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -450,7 +450,7 @@
 // beyond what leaves, while a machine boots.
 func (e *engine) warmTasks(c *class) int {
 	now := e.n.now.Mono
-	window := e.rules.lease * 6
+	window := e.rules.lease * 10
 	n := 0
 	for _, at := range c.arrivals {
 		if now-at < window {
