--- a/internal/coordination/consolidate.go
+++ b/internal/coordination/consolidate.go
@@ -46,9 +46,17 @@
 			promised[j.prefer] = promised[j.prefer].plus(j.need)
 		}
 	}
+	// A move takes a replica away for about a second: few may be away at a time.
+	replicas := 0
+	for _, j := range e.order {
+		if j.Shape == protocol.Service {
+			replicas += len(j.tasks)
+		}
+	}
+	perMin := min(e.opt.MovesPerMin, float64(replicas)/moveShare)
 	for _, h := range e.byName {
 		if h.draining {
-			e.moveOne(h, promised)
+			e.moveOne(h, promised, perMin)
 		}
 	}
 }
@@ -56,6 +64,8 @@
 const (
 	// drainShare is the part of the machines that are emptied at a time.
 	drainShare = 16
+	// moveShare is the part of the replicas that may be moved in a minute.
+	moveShare = 4
 	// drainTries is how many machines a pass looks at closely, at most.
 	drainTries = 8
 	// dearer is how many times as much a task's place may cost on the machine
@@ -157,7 +167,7 @@
 
 // moveOne stops a replica of a machine that is being emptied, if a place is
 // ready for it and its job has no other on the move.
-func (e *engine) moveOne(h *host, promised map[*host]need) {
+func (e *engine) moveOne(h *host, promised map[*host]need, perMin float64) {
 	now := e.n.now.Mono
 	if now < e.moveAt {
 		return
@@ -180,7 +190,7 @@
 				continue
 			}
 			e.n.Stats.Moved++
-			e.moveAt += time.Duration(float64(time.Minute) / e.opt.MovesPerMin)
+			e.moveAt += time.Duration(float64(time.Minute) / perMin)
 			j.prefer = to
 			promised[to] = promised[to].plus(j.need)
 			e.preemptTask(t, "moved to free its machine")
