--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -223,9 +223,9 @@
 	return false
 }
 
-// cost ranks machines for a task. Packing comes first, since a machine that
-// empties can be given back; the image's fetch counts for little, unless it
-// would make the start late by its class's aim.
+// cost ranks machines for a task: by packing, since a machine that empties can be
+// given back, and by the image's fetch, during which the place does nothing. A
+// fetch that would make the start late by its class's aim counts far more.
 func (e *engine) cost(j *job, h *host) float64 {
 	mt := e.fleet.kind(h.kind)
 	fetch := h.fetchTime(e, j)
