--- a/internal/coordination/consolidate.go
+++ b/internal/coordination/consolidate.go
@@ -169,7 +169,7 @@
 // ready for it and its job has no other on the move.
 func (e *engine) moveOne(h *host, promised map[*host]need, perMin float64) {
 	now := e.n.now.Mono
-	if now < e.moveAt {
+	if now < e.moveAt || now < h.drainNext {
 		return
 	}
 	for _, t := range h.tasks {
@@ -186,6 +186,7 @@
 		use := j.zoneUse()
 		use[h.zone]--
 		for _, to := range e.byName {
+			e.n.Stats.HostsSeen++
 			if !j.need.fits(e.free(to).minus(promised[to])) || !e.fitsMove(j, h, to, use) {
 				continue
 			}
@@ -197,4 +198,5 @@
 			return
 		}
 	}
+	h.drainNext = now + e.rules.lease/16 // nothing can be moved yet
 }
--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"oakpick/internal/bookkeeping"
@@ -42,6 +43,7 @@
 	e      *engine
 	team   *team
 	need   need
+	kinds  string // the types that it allows, in one word
 	full   bookkeeping.Bits
 	blocks map[int]*block
 	tasks  map[int]*task // active ones
@@ -182,6 +184,10 @@
 	raiseRev  int64
 	raisedAt  time.Duration
 	moveAt    time.Duration
+	hostsAt   time.Duration // when all machines are looked at next
+	woken     []*host       // machines that are to be told something
+	pass      pass
+	passAt    time.Duration // no placement pass before
 
 	schedule bool // something changed that may let a task start
 	fleet    fleet
@@ -336,6 +342,7 @@
 		b.starts = append(b.starts, t)
 		j.tasks[t.index] = t
 		h.tasks = append(h.tasks, t)
+		h.used = h.used.plus(j.need)
 		h.session = max(h.session, s.Session)
 		j.team.used = j.team.used.plus(j.need)
 	}
@@ -345,7 +352,7 @@
 func (e *engine) newJob(r bookkeeping.JobRecord) *job {
 	j := &job{
 		JobRecord: r, e: e, blocks: map[int]*block{}, tasks: map[int]*task{}, idleSince: e.n.now.Mono,
-		need: need{r.CPUs, r.GPUs, r.MemoryGB}, failedOn: map[string]bool{},
+		need: need{r.CPUs, r.GPUs, r.MemoryGB}, failedOn: map[string]bool{}, kinds: strings.Join(r.Types, " "),
 	}
 	if j.team = e.teams[r.Team]; j.team == nil {
 		j.team = &team{Team: config.Team{Name: r.Team}} // a team that the settings no longer name
@@ -616,6 +623,7 @@
 	b.starts = append(b.starts, t)
 	j.tasks[index] = t
 	h.tasks = append(h.tasks, t)
+	h.used = h.used.plus(j.need)
 	h.emptySince = 0
 	j.team.used = j.team.used.plus(j.need)
 	h.fetch(e, j)
@@ -637,7 +645,7 @@
 		e.settle(t.job, nil)
 		return
 	}
-	t.host.wake = true
+	e.wake(t.host)
 }
 
 // drop forgets a task that is certainly not on its machine, or no longer.
@@ -649,6 +657,10 @@
 	delete(j.tasks, t.index)
 	t.block.starts = slices.DeleteFunc(t.block.starts, func(x *task) bool { return x == t })
 	t.host.tasks = slices.DeleteFunc(t.host.tasks, func(x *task) bool { return x == t })
+	t.host.used = t.host.used.minus(j.need)
+	if t.stopping {
+		t.host.leaving = t.host.leaving.minus(j.need)
+	}
 	j.team.used = j.team.used.minus(j.need)
 	if !j.isDone(t.index) {
 		j.requeue = append(j.requeue, t.index)
@@ -656,6 +668,7 @@
 	}
 	if len(t.host.tasks) == 0 {
 		t.host.emptySince = e.n.now.Mono
+		t.host.used, t.host.leaving = need{}, need{} // no rounding is carried on
 	}
 	e.schedule = true
 	e.book.Touch(e.n.now.Mono, t.block, nil)
@@ -692,7 +705,7 @@
 func (e *engine) exited(t *task, r protocol.TaskReport) {
 	j, h, a := t.job, t.host, r.Attempt
 	h.forget[a] = forgetting{token: max(t.sentToken, e.firstT-1), since: e.n.now.Mono}
-	w := bookkeeping.NewWait(func() { h.forgettable(a) })
+	w := bookkeeping.NewWait(func() { e.forgettable(h, a) })
 	now := e.n.now.Mono
 	switch r.Cause {
 	case protocol.Done:
@@ -814,6 +827,9 @@
 	if t.stopping && (grace >= t.grace || t.grace == 0) {
 		return
 	}
+	if !t.stopping {
+		t.host.leaving = t.host.leaving.plus(t.job.need)
+	}
 	t.stopping, t.grace = true, grace
 	t.stopAt = e.n.now.Mono
 	if t.sentToken == 0 && !t.inherited {
@@ -822,7 +838,7 @@
 		}
 		return
 	}
-	t.host.wake = true
+	e.wake(t.host)
 }
 
 // preemptTask stops a task so that it saves what it can; of a gang, every task.
@@ -962,7 +978,7 @@
 	e.n.Stats.Raised++
 	e.n.log(Info, "token raised", "token", version)
 	for _, h := range e.byName {
-		h.wake = true
+		e.wake(h)
 	}
 }
 
@@ -973,9 +989,12 @@
 			return
 		}
 		e.hostsTick()
-		if e.schedule {
+		if now := e.n.now.Mono; e.schedule && now >= e.passAt {
 			e.schedule = false
 			e.placeAll()
+			// The more waits in vain, the more a pass takes, and the less it matters
+			// that the next is a little later.
+			e.passAt = now + time.Duration(len(e.fleet.unplaced))*e.rules.perWait
 		}
 		e.fleetTick()
 	}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -364,13 +364,8 @@
 		}
 		switch {
 		case e.alive(h):
-			b := &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: e.free(h)}
-			for _, t := range h.tasks {
-				if t.stopping { // its place is free long before a new machine is up
-					b.room = b.room.plus(t.job.need)
-				}
-			}
-			bins = append(bins, b)
+			// The place of a stopping task is free long before a new machine is up.
+			bins = append(bins, &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: e.free(h).plus(h.leaving)})
 		case e.coming(h):
 			boot := max(config.Seconds(mt.BootS)-(e.n.now.Mono-h.rentedAt), config.Seconds(mt.BootS/10))
 			bins = append(bins, &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: size(mt), ready: boot})
@@ -385,21 +380,25 @@
 	}
 	firstNew := len(bins)
 	want := func(j *job, n int, use map[string]int, spotOnly bool) {
-		for range n {
+		for n > 0 {
 			b := e.pack(bins, j, use, spotOnly)
 			o, ok := e.cheapest(j, use, n, spotOnly)
-			if b != nil && !(ok && e.sooner(j, b, o)) {
-				b.room = b.room.minus(j.need)
-				b.used = true
-				use[b.offer.zone]++
-				continue
+			if b == nil || ok && e.sooner(j, b, o) {
+				if !ok {
+					return
+				}
+				b = &bin{offer: o, ready: config.Seconds(f.kind(o.kind).BootS), room: size(f.kind(o.kind))}
+				bins = append(bins, b)
 			}
-			if !ok {
-				return
+			// The bin that was best for one task is so for the next, until it is full.
+			k := 1
+			if !j.Spread {
+				k = j.need.count(b.room, n)
 			}
-			b = &bin{offer: o, ready: config.Seconds(f.kind(o.kind).BootS), room: size(f.kind(o.kind)).minus(j.need), used: true}
-			bins = append(bins, b)
-			use[o.zone]++
+			b.room = b.room.minus(j.need.times(float64(k)))
+			b.used = true
+			use[b.offer.zone] += k
+			n -= k
 		}
 	}
 	for _, w := range f.unplaced {
@@ -478,7 +477,8 @@
 	var best *bin
 	bestKey := math.Inf(1)
 	for _, b := range bins {
-		if spotOnly && !b.offer.spot || !j.allowed(b.offer.kind, b.offer.zone, b.offer.spot) || !j.zoneOK(b.offer.zone, use) || !j.need.fits(b.room) {
+		e.n.Stats.HostsSeen++
+		if !j.need.fits(b.room) || spotOnly && !b.offer.spot || !j.allowed(b.offer.kind, b.offer.zone, b.offer.spot) || !j.zoneOK(b.offer.zone, use) {
 			continue
 		}
 		key := b.room.gpus + b.room.cpus/1000
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -26,14 +26,17 @@
 	answered       time.Duration // when a report was last answered with 200
 	wasAnswered    bool
 
-	tasks  []*task
-	others []protocol.TaskReport // on the machine, but not in the books
-	forget map[protocol.Attempt]forgetting
+	tasks   []*task
+	used    need                  // what they take
+	leaving need                  // of that, what stopping ones are about to leave
+	others  []protocol.TaskReport // on the machine, but not in the books
+	forget  map[protocol.Attempt]forgetting
 
 	call     uint64 // the direct command under way
 	callAt   time.Duration
 	starts   []*task // that it carries
 	wake     bool    // something is to be sent
+	queued   bool    // and it is among the engine's woken
 	next     time.Duration
 	fails    int
 	doubtTok int64 // highest token with which a start may yet arrive
@@ -87,11 +90,11 @@
 	since   time.Duration
 }
 
-func (h *host) forgettable(a protocol.Attempt) {
+func (e *engine) forgettable(h *host, a protocol.Attempt) {
 	if f, ok := h.forget[a]; ok {
 		f.durable = true
 		h.forget[a] = f
-		h.wake = true
+		e.wake(h)
 	}
 }
 
@@ -186,7 +189,7 @@
 		if t == nil {
 			h.others = append(h.others, tr)
 			if tr.State != protocol.Exited {
-				h.wake = true
+				e.wake(h)
 			} else if _, ok := h.forget[tr.Attempt]; !ok {
 				// Nothing is known of it: an earlier leader's, or long settled.
 				h.forget[tr.Attempt] = forgetting{durable: true, token: e.token, since: now}
@@ -306,11 +309,29 @@
 	return out
 }
 
-// sendOrders sends what machines are to be told at once.
+// wake notes that a machine is to be told something.
+func (e *engine) wake(h *host) {
+	h.wake = true
+	if !h.queued {
+		h.queued = true
+		e.woken = append(e.woken, h)
+	}
+}
+
+// sendOrders sends what machines are to be told at once. Those that can't be
+// told now stay among the woken.
 func (e *engine) sendOrders() {
 	n, now := e.n, e.n.now.Mono
-	for _, h := range e.byName {
-		if !h.wake || h.call != 0 || now < h.next || !h.up || h.session <= h.dead {
+	woken := e.woken
+	e.woken = e.woken[:0]
+	for _, h := range woken {
+		n.Stats.HostsSeen++
+		if h.wake && (h.call != 0 || now < h.next || !h.up || h.session <= h.dead) {
+			e.woken = append(e.woken, h)
+			continue
+		}
+		h.queued = false
+		if !h.wake {
 			continue
 		}
 		h.wake = false
@@ -372,7 +393,7 @@
 		}
 	}
 	if h.fails > 0 {
-		h.wake = true
+		e.wake(h)
 		h.next = now + min(e.rules.report/6<<min(h.fails, 5), e.rules.lease/2)
 		h.pauseUntil = max(h.pauseUntil, now+e.rules.report/2)
 	}
@@ -396,9 +417,14 @@
 // hostsTick looks for leases that have lapsed, and for doubts to be ended.
 func (e *engine) hostsTick() {
 	n, now := e.n, e.n.now.Mono
+	if now < e.hostsAt {
+		return
+	}
+	e.hostsAt = now + e.rules.look
 	base := n.lapseBase()
 	raise := false
 	for _, h := range slices.Clone(e.byName) {
+		n.Stats.HostsSeen++
 		if len(h.tasks) > 0 || h.up {
 			from := base
 			if h.wasAnswered {
@@ -422,7 +448,7 @@
 		}
 		for _, t := range h.tasks {
 			if t.stopping && t.stopSent > 0 && now-t.stopSent > e.rules.report {
-				h.wake = true
+				e.wake(h)
 				if t.grace > 0 && now-t.stopAt > time.Duration((t.grace+2*t.job.SaveTime)*float64(time.Second))+2*e.rules.report {
 					t.grace = 0
 				}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -193,6 +193,8 @@
 	Returned     int64 `json:"machines_returned"`
 	Txns         int64 `json:"writes"`
 	Retries      int64 `json:"writes_retried"`
+	HostsSeen    int64 `json:"machines_looked_at"`
+	JobsSeen     int64 `json:"jobs_looked_at"`
 }
 
 // New makes a node. The seed and the boot name must differ between processes.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -17,10 +17,7 @@
 	if mt == nil {
 		return need{}
 	}
-	n := need{mt.CPUs, mt.GPUs, mt.MemoryGB}
-	for _, t := range h.tasks {
-		n = n.minus(t.job.need)
-	}
+	n := need{mt.CPUs, mt.GPUs, mt.MemoryGB}.minus(h.used)
 	for _, tr := range h.others {
 		// A task that isn't in the books any more still takes its room; how much
 		// is known only while its job is.
@@ -65,6 +62,7 @@
 	sum := map[*team]need{}
 	var out []*job
 	for _, j := range e.order {
+		e.n.Stats.JobsSeen++
 		if j.Cancelled || j.over {
 			j.within = false
 			continue
@@ -105,9 +103,7 @@
 	if len(q) == 0 {
 		return
 	}
-	for _, h := range e.byName {
-		h.virtual = e.free(h)
-	}
+	e.beginPass()
 	for _, j := range q {
 		if now < j.retryAt {
 			e.fleet.unplaced = append(e.fleet.unplaced, wait{j, 0})
@@ -154,39 +150,118 @@
 	return j.need.count(left, most)
 }
 
-// choose picks a machine for one task: the best of a few sampled from those
-// with room that have lately reported.
-func (e *engine) choose(j *job, use map[string]int) *host {
-	var fit []*host
+// pass is what one placement pass has found out so far, so that a machine isn't
+// looked at again for every task that waits.
+type pass struct {
+	room     map[shape][]*host // machines with room for such a task
+	freeing  []*host           // those that stopping tasks are about to leave
+	yielding []*host           // those with tasks that some job may have stopped
+	yields   bool              // yielding has been made
+	booting  []*host
+	vain     map[claim]bool // no task that may be stopped makes room for these
+}
+
+// shape is what tells tasks apart that ask for the same machines.
+type shape struct {
+	need        need
+	kinds, zone string
+	spot        bool
+}
+
+// claim is what tells apart jobs that may have other tasks stopped.
+type claim struct {
+	shape
+	order  int
+	within bool
+	team   *team
+}
+
+func (j *job) shape() shape { return shape{j.need, j.kinds, j.Zone, j.Spot} }
+
+func (e *engine) beginPass() {
+	p := &e.pass
+	p.room, p.vain = map[shape][]*host{}, map[claim]bool{}
+	p.freeing, p.yielding, p.booting, p.yields = p.freeing[:0], p.yielding[:0], p.booting[:0], false
 	for _, h := range e.byName {
-		if e.alive(h) && j.allowed(h.kind, h.zone, h.spot) && j.need.fits(h.virtual) && j.zoneOK(h.zone, use) && !j.failedOn[h.name] {
-			fit = append(fit, h)
+		e.n.Stats.HostsSeen++
+		h.virtual = e.free(h)
+		if !h.up {
+			p.booting = append(p.booting, h)
+		} else if h.leaving != (need{}) {
+			p.freeing = append(p.freeing, h)
+		}
+	}
+}
+
+// withRoom lists the machines with room for such a task.
+func (e *engine) withRoom(j *job) []*host {
+	s := j.shape()
+	list, ok := e.pass.room[s]
+	if !ok {
+		for _, h := range e.byName {
+			e.n.Stats.HostsSeen++
+			if j.need.fits(h.virtual) && e.alive(h) && j.allowed(h.kind, h.zone, h.spot) {
+				list = append(list, h)
+			}
 		}
+		e.pass.room[s] = list
+	}
+	return list
+}
+
+// giveRoomBack undoes what was set aside in this pass.
+func (e *engine) giveRoomBack(saved map[*host]need) {
+	for h, v := range saved {
+		h.virtual = v
 	}
+	if len(saved) > 0 {
+		clear(e.pass.room)
+	}
+}
+
+// choose picks a machine for one task: the best of a few sampled from those
+// with room that have lately reported.
+func (e *engine) choose(j *job, use map[string]int) *host {
 	if to := j.prefer; to != nil {
 		j.prefer = nil
-		if slices.Contains(fit, to) {
+		if e.alive(to) && j.allowed(to.kind, to.zone, to.spot) && j.need.fits(to.virtual) && j.zoneOK(to.zone, use) && !j.failedOn[to.name] {
 			return to
 		}
 	}
-	if len(fit) == 0 && len(j.failedOn) > 0 {
-		for _, h := range e.byName {
-			if e.alive(h) && j.allowed(h.kind, h.zone, h.spot) && j.need.fits(h.virtual) && j.zoneOK(h.zone, use) {
-				fit = append(fit, h)
-			}
+	list := e.withRoom(j)
+	var best, again *host // again: the task has failed there
+	bestCost, againCost := math.Inf(1), math.Inf(1)
+	for i, looked := 0, 0; i < len(list) && looked < e.opt.Sample; {
+		e.n.Stats.HostsSeen++
+		r := i + e.n.rng.IntN(len(list)-i)
+		h := list[r]
+		if !j.need.fits(h.virtual) { // filled up in this pass
+			list[r] = list[len(list)-1]
+			list = list[:len(list)-1]
+			e.pass.room[j.shape()] = list
+			continue
 		}
-	}
-	if k := e.opt.Sample; len(fit) > k {
-		e.n.rng.Shuffle(len(fit), func(a, b int) { fit[a], fit[b] = fit[b], fit[a] })
-		fit = fit[:k]
-	}
-	var best *host
-	bestCost := math.Inf(1)
-	for _, h := range fit {
-		if c := e.cost(j, h); c < bestCost {
+		list[i], list[r] = h, list[i]
+		i++
+		if !j.zoneOK(h.zone, use) {
+			continue
+		}
+		c := e.cost(j, h)
+		switch {
+		case j.failedOn[h.name]:
+			if c < againCost {
+				again, againCost = h, c
+			}
+		case c < bestCost:
 			best, bestCost = h, c
+			looked++
+		default:
+			looked++
 		}
 	}
+	if best == nil {
+		best = again
+	}
 	if best != nil && e.betterSoon(j, best) {
 		return nil
 	}
@@ -211,7 +286,8 @@
 	if now >= j.holdUntil {
 		return false
 	}
-	for _, x := range e.byName {
+	for _, x := range e.pass.booting {
+		e.n.Stats.HostsSeen++
 		if !e.coming(x) || !j.allowed(x.kind, x.zone, x.spot) {
 			continue
 		}
@@ -304,9 +380,7 @@
 			got = append(got, spot{h: h})
 		}
 		if len(got) < idle {
-			for h, v := range saved {
-				h.virtual = v
-			}
+			e.giveRoomBack(saved)
 			return nil
 		}
 		return got
@@ -372,23 +446,23 @@
 // that could not start even then.
 func (e *engine) makeRoom(j *job, count int, use map[string]int) {
 	taken := map[*task]bool{}
+	extra := map[*host]need{} // what the taken ones leave
 	var victims []*task
 	saved := map[*host]need{}
 	for n := range count {
-		h := e.comingRoom(j, use, taken)
+		h := e.comingRoom(j, use, extra)
 		if h == nil {
 			var more []*task
-			if h, more = e.preemptFor(j, use, taken); h == nil {
+			if h, more = e.preemptFor(j, use, taken, extra, n == 0); h == nil {
 				if j.Shape == protocol.Gang && n < count {
-					for x, v := range saved {
-						x.virtual = v
-					}
+					e.giveRoomBack(saved)
 					return
 				}
 				break
 			}
 			for _, t := range more {
 				taken[t] = true
+				extra[h] = extra[h].plus(t.job.need)
 			}
 			victims = append(victims, more...)
 		}
@@ -401,47 +475,67 @@
 	for _, t := range victims {
 		e.n.Stats.Preempted++
 		e.preemptTask(t, "preempted for "+j.ID)
+		if h := t.host; !slices.Contains(e.pass.freeing, h) {
+			e.pass.freeing = append(e.pass.freeing, h)
+		}
 	}
 }
 
 // comingRoom finds a machine whose stopping tasks will leave room for a task.
-func (e *engine) comingRoom(j *job, use map[string]int, taken map[*task]bool) *host {
-	for _, h := range e.byName {
-		if !e.alive(h) || !j.allowed(h.kind, h.zone, h.spot) || !j.zoneOK(h.zone, use) {
-			continue
-		}
-		room := h.virtual
-		for _, t := range h.tasks {
-			if t.stopping || taken[t] {
-				room = room.plus(t.job.need)
+func (e *engine) comingRoom(j *job, use map[string]int, extra map[*host]need) *host {
+	fits := func(h *host) bool {
+		e.n.Stats.HostsSeen++
+		return j.need.fits(h.virtual.plus(h.leaving).plus(extra[h])) && e.alive(h) && j.allowed(h.kind, h.zone, h.spot) && j.zoneOK(h.zone, use)
+	}
+	for _, list := range [][]*host{e.withRoom(j), e.pass.freeing} {
+		for _, h := range list {
+			if fits(h) {
+				return h
 			}
 		}
-		if j.need.fits(room) {
-			return h
+	}
+	var best *host // of those with tasks taken for this very job: the first by name, whatever the map's order
+	for h := range extra {
+		if (best == nil || h.name < best.name) && fits(h) {
+			best = h
 		}
 	}
-	return nil
+	return best
 }
 
 // preemptFor finds the tasks whose loss costs least, on one machine, so that a
 // task of the job fits there without them.
-func (e *engine) preemptFor(j *job, use map[string]int, taken map[*task]bool) (*host, []*task) {
+func (e *engine) preemptFor(j *job, use map[string]int, taken map[*task]bool, extra map[*host]need, first bool) (*host, []*task) {
+	c := claim{j.shape(), order(j), j.within, j.team}
+	// Within a pass room only shrinks: what was in vain for one job is so for the
+	// next that may stop the same. A zone's limit is the job's own affair.
+	// So are the places that its other tasks have been promised.
+	free := first && !j.Spread && !j.OneZone && len(j.failedOn) < 3
+	if free && e.pass.vain[c] {
+		return nil, nil
+	}
+	list := e.yielding()
 	var best *host
 	var victims []*task
 	bestCost := math.Inf(1)
-	for _, h := range e.byName {
+	for i, found := 0, 0; i < len(list) && found < e.opt.Sample; i++ {
+		e.n.Stats.HostsSeen++
+		r := i + e.n.rng.IntN(len(list)-i)
+		list[i], list[r] = list[r], list[i]
+		h := list[i]
 		if !e.alive(h) || !j.allowed(h.kind, h.zone, h.spot) || !j.zoneOK(h.zone, use) {
 			continue
 		}
-		room := h.virtual
+		room := h.virtual.plus(h.leaving).plus(extra[h])
 		var may []*task
 		for _, t := range h.tasks {
-			if t.stopping || taken[t] {
-				room = room.plus(t.job.need)
-			} else if mayPreempt(j, t) {
+			if !t.stopping && !taken[t] && mayPreempt(j, t) {
 				may = append(may, t)
 			}
 		}
+		if len(may) == 0 {
+			continue
+		}
 		slices.SortStableFunc(may, func(a, b *task) int { return cmp.Compare(e.lossOf(a), e.lossOf(b)) })
 		var take []*task
 		cost := h.fetchTime(e, j)
@@ -453,16 +547,41 @@
 			take = append(take, t)
 			cost += e.lossOf(t)
 		}
-		if j.need.fits(room) && len(take) > 0 && cost < bestCost {
+		if !j.need.fits(room) || len(take) == 0 {
+			continue
+		}
+		found++
+		if cost < bestCost {
 			best, victims, bestCost = h, take, cost
 		}
 	}
 	if bestCost > e.opt.PreemptMostS {
+		if free && best == nil {
+			e.pass.vain[c] = true
+		}
 		return nil, nil
 	}
 	return best, victims
 }
 
+// yielding lists the machines with tasks that could be stopped for some job:
+// all but those of the highest priority within their team's guarantee.
+func (e *engine) yielding() []*host {
+	p := &e.pass
+	if !p.yields {
+		p.yields = true
+		for _, h := range e.byName {
+			e.n.Stats.HostsSeen++
+			if h.up && slices.ContainsFunc(h.tasks, func(t *task) bool {
+				return !t.job.Cancelled && !(t.job.Priority == protocol.Production && t.job.within)
+			}) {
+				p.yielding = append(p.yielding, h)
+			}
+		}
+	}
+	return p.yielding
+}
+
 // lossOf is what stopping a task costs, in seconds of work.
 func (e *engine) lossOf(t *task) float64 {
 	j := t.job
