--- a/internal/bookkeeping/client.go
+++ b/internal/bookkeeping/client.go
@@ -35,6 +35,7 @@
 	StateTxn
 	StateGrant
 	StateRenew
+	StateRevoke
 )
 
 // StateCall asks the state service.
@@ -43,7 +44,7 @@
 	Op    StateOp
 	Key   string // of a read; a prefix for a list
 	After string // of a list
-	Lease int64  // of a renewal
+	Lease int64  // of a renewal or a revocation
 	TTL   time.Duration
 	Txn   protocol.Txn
 }
@@ -125,8 +126,15 @@
 	case StateRenew:
 		uri += protocol.RenewPath(call.Lease)
 		client, wait = c.renewals, c.renewWait
+	case StateRevoke:
+		uri += protocol.GrantPath(call.Lease)
+		client, wait = c.renewals, c.renewWait
 	}
-	if call.Op != StateGet && call.Op != StateList {
+	switch call.Op {
+	case StateGet, StateList:
+	case StateRevoke:
+		req.Header.SetMethod(fasthttp.MethodDelete)
+	default:
 		req.Header.SetMethod(fasthttp.MethodPost)
 		req.Header.SetContentType(protocol.ContentType)
 	}
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -423,8 +423,15 @@
 	e.hostsAt = now + e.rules.look
 	base := n.lapseBase()
 	raise := false
+	live, silent := 0, 0
 	for _, h := range slices.Clone(e.byName) {
 		n.Stats.HostsSeen++
+		if h.up && h.session > h.dead && now-h.heard < e.rules.lease {
+			live++
+			if now-h.heard > e.rules.deaf {
+				silent++
+			}
+		}
 		if len(h.tasks) > 0 || h.up {
 			from := base
 			if h.wasAnswered {
@@ -466,8 +473,18 @@
 	if raise || e.raising != nil {
 		e.raiseToken()
 	}
+	// All of them at once: it is this node that the workers can't reach, and they
+	// know no other that would answer them. Another has to lead before their
+	// leases run out.
+	if live >= deafLeast && silent*8 > live*7 {
+		n.giveUp("no worker is heard any more")
+	}
 }
 
+// deafLeast is how many machines have to be silent at once before the leader
+// blames itself.
+const deafLeast = 3
+
 // alive tells whether a machine can be given tasks.
 func (e *engine) alive(h *host) bool {
 	now := e.n.now.Mono
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -206,6 +206,11 @@
 // Step takes a batch of commands and gives what is to be done about them.
 func (n *Node) Step(now Now, commands []any) []any {
 	n.now, n.out = now, nil
+	if n.engine != nil && n.holdOver() {
+		// The process stood still. What has come meanwhile must not be answered as
+		// if no time had passed: a successor may have declared sessions lapsed.
+		n.stepDown("the hold is over")
+	}
 	for _, c := range commands {
 		n.handle(c)
 	}
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -21,6 +21,8 @@
 	probe     time.Duration // between a follower's greetings to the leader
 	reach     time.Duration // after which a leader that doesn't answer them counts as out of reach
 	cancel    time.Duration // after which a machine that may not obey isn't answered
+	deaf      time.Duration // a machine that has been silent for so long should have reported
+	shun      time.Duration // how long a node that gave up the term leaves it to others
 	look      time.Duration // between looks at all machines
 	perWait   time.Duration // for each job that waits in vain, between placement passes
 	blockSize int
@@ -45,8 +47,10 @@
 		retry:  sec(w.Report / 20),
 		raise:  sec(w.Lease / 4),
 		look:   sec(w.Report / 40),
+		deaf:   sec(w.Report * 1.5),
 		cancel: sec(w.Cancel - w.Lease*(1+2*drift) - w.Report),
 	}
+	r.shun = r.ttl * 2
 	r.perWait = r.look / 1000
 	r.healthFor = r.ttl * 6
 	r.probe = sec(w.Lease / 12)
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -836,3 +836,62 @@
 	}
 	check(t, w)
 }
+
+// The leader keeps the state service and its peers, but hears no worker. Every
+// worker would be sent back to it until its lease has run out: so it gives the
+// term up at once, and nothing that runs is lost.
+func TestLeaderThatHearsNoWorkerGivesUp(t *testing.T) {
+	s := fake.Settings()
+	s.Workers.Report, s.Workers.Lease, s.Workers.Cancel = 3, 14, 34
+	w := fake.NewWorld(s)
+	for i := range 4 {
+		w.Submit(service(i+1, 3), 0)
+	}
+	w.Run(30 * time.Second)
+	leader := w.Leader()
+	if leader == nil {
+		t.Fatal("nobody leads")
+	}
+	before := map[string]int64{}
+	for _, name := range w.Names() {
+		before[name] = w.Session(name)
+	}
+	if len(before) < 3 {
+		t.Fatalf("only %d machines", len(before))
+	}
+	w.Network = func(kind, from, to string) fake.Fate {
+		f := fake.Well()
+		f.LoseRequest = kind == "report" && to == leader.Name || kind == "orders" && from == leader.Name
+		return f
+	}
+	w.Run(40 * time.Second)
+	if l := w.Leader(); l == nil || l == leader {
+		t.Fatal("nobody else leads")
+	}
+	for name, session := range before {
+		if w.Session(name) != session {
+			t.Errorf("%s has lost its tasks", name)
+		}
+	}
+	check(t, w)
+}
+
+// A process stands still for longer than its hold and then finds workers'
+// reports waiting: a successor counts on it not to answer them any more.
+func TestReportThatWaitedOutTheHoldIsRefused(t *testing.T) {
+	w := world(t)
+	j := w.Submit(service(1, 1), 0)
+	runs(t, w, j.Sub.ID, 1)
+	host := w.On(j.Sub.ID)[0]
+	n0 := w.Nodes[0]
+	n0.PausedUntil = w.Now + 60*time.Second
+	got := -1
+	w.After(0, func() { // the first thing that it finds
+		r := protocol.Report{Host: host, Type: "small", Zone: "a", Session: 9, Seq: 1}
+		n0.Ask(coordination.ReportCall{Report: &r}, func(a coordination.Reply) { got = a.Status })
+	})
+	w.Run(61 * time.Second)
+	if got == 200 || got == -1 {
+		t.Errorf("the report was answered %d", got)
+	}
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -32,7 +32,7 @@
 	forRaiseCheck
 	forPageTxn
 	forPageCheck
-	forTermCheck
+	forRevoke
 )
 
 type pending struct {
@@ -48,6 +48,7 @@
 
 	lookAt   time.Duration
 	looking  bool
+	shun     time.Duration // until when to leave the term to others
 	reached  time.Duration // when the leader last answered a greeting, or was first heard of
 	greetAt  time.Duration
 	lease    int64
@@ -80,6 +81,9 @@
 	n.emit(c)
 }
 
+// holdOver tells whether workers may no longer be answered.
+func (n *Node) holdOver() bool { return n.now.Mono > n.term.until+n.rules.hold }
+
 // certain tells whether no other node can have taken the term yet.
 func (n *Node) certain() bool { return n.engine != nil && n.now.Mono < n.term.until }
 
@@ -98,9 +102,6 @@
 		t.renewAt = now + n.rules.renew
 		n.state(forRenew, StateCall{Op: bookkeeping.StateRenew, Lease: t.lease})
 	}
-	if n.engine != nil && now > t.until+n.rules.hold {
-		n.stepDown("the hold is over")
-	}
 	if t.own != 0 {
 		n.askRelease()
 		if n.engine == nil && now > t.until {
@@ -148,6 +149,15 @@
 	n.lookLater()
 }
 
+// giveUp ends the term by this node's own choice, so that another can take it
+// at once.
+func (n *Node) giveUp(why string) {
+	lease := n.term.lease
+	n.stepDown(why)
+	n.term.shun = n.now.Mono + n.rules.shun
+	n.state(forRevoke, StateCall{Op: bookkeeping.StateRevoke, Lease: lease})
+}
+
 func (n *Node) stateResult(r StateResult) {
 	p, ok := n.term.calls[r.ID]
 	if !ok {
@@ -177,6 +187,7 @@
 		}
 	case forBarrier, forPages:
 		n.loadResult(p.why, r)
+	case forRevoke: // without it the lease ends by itself a little later
 	default:
 		if n.engine != nil {
 			n.engine.stateResult(p.why, r)
@@ -216,6 +227,10 @@
 		n.lookLater()
 	case NotFound:
 		t.seen, t.leader = 0, ""
+		if n.now.Mono < t.shun {
+			n.lookLater()
+			return
+		}
 		n.askLease()
 	default:
 		n.lookLater()
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -54,7 +54,7 @@
 }
 
 func (m *metrics) state(op bookkeeping.StateOp, d time.Duration) {
-	m.add([...]string{"state_get", "state_list", "state_write", "state_grant", "state_renew"}[op], d)
+	m.add([...]string{"state_get", "state_list", "state_write", "state_grant", "state_renew", "state_revoke"}[op], d)
 }
 
 // latency is one histogram's summary, in milliseconds.
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -100,6 +100,12 @@
 		}
 		l.ends = s.w.Now + l.ttl
 		s.leases[c.Lease] = l
+	case bookkeeping.StateRevoke:
+		if l, ok := s.leases[c.Lease]; ok {
+			l.ends = s.w.Now
+			s.leases[c.Lease] = l
+			s.expire()
+		}
 	case bookkeeping.StateGet:
 		e, ok := s.keys[c.Key]
 		if !ok {
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -205,8 +205,11 @@
 	TTLms int64 `msgpack:"life_ms"`
 }
 
+// GrantPath is where a lease is.
+func GrantPath(lease int64) string { return fmt.Sprintf("%s/%d", PathGrants, lease) }
+
 // RenewPath is where a lease is renewed.
-func RenewPath(lease int64) string { return fmt.Sprintf("%s/%d%s", PathGrants, lease, renewSuffix) }
+func RenewPath(lease int64) string { return GrantPath(lease) + renewSuffix }
 
 // LetGo is what a new leader tells its peers: terms below Term are over, and it
 // is the one that leads. A Term of 0 is no more than a greeting.
