--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -77,9 +77,8 @@
 	}
 	// PeerResult answers a PeerCall.
 	PeerResult struct {
-		Peer     string
-		Term     int64
-		Released bool
+		PeerCall
+		protocol.LetGoAnswer
 	}
 	// Tick lets time pass.
 	Tick struct{}
@@ -127,8 +126,9 @@
 	}
 	// PeerCall asks a peer to let go of terms below Term.
 	PeerCall struct {
-		Peer string
-		Term int64
+		Peer  string
+		Term  int64
+		Asked time.Duration // when
 	}
 	// Log is a line for the operator.
 	Log struct {
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -40,7 +40,6 @@
 		ttl:    sec(w.Lease / 10),
 		renew:  sec(w.Lease / 50),
 		poll:   sec(w.Lease / 60),
-		hold:   sec(w.Lease * 2),
 		lease:  lease + sec(w.Report/20),
 		report: sec(w.Report),
 		answer: sec(w.Report * 0.75),
@@ -50,6 +49,9 @@
 		deaf:   sec(w.Report * 1.5),
 		cancel: sec(w.Cancel - w.Lease*(1+2*drift) - w.Report),
 	}
+	// What a successor has told to be cancelled has to be gone in time, also on a
+	// worker that only its predecessor reaches.
+	r.hold = max(0, min(sec(w.Lease*2), r.cancel))
 	r.shun = r.ttl * 2
 	r.perWait = r.look / 1000
 	r.healthFor = r.ttl * 6
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -65,6 +65,10 @@
 	released map[string]time.Duration
 	askAt    time.Duration
 	floor    int64 // never act for a term below
+
+	// while in doubt, see holdOver
+	doubtAt time.Duration
+	idle    map[string]time.Duration // peers that cannot have led yet, and when they were asked
 }
 
 type loader struct {
@@ -81,8 +85,39 @@
 	n.emit(c)
 }
 
-// holdOver tells whether workers may no longer be answered.
-func (n *Node) holdOver() bool { return n.now.Mono > n.term.until+n.rules.hold }
+// holdOver tells whether workers may no longer be answered. The hold counts from
+// when another node may first have led: when our lease ended, or later, if since
+// then every peer has said that it has not.
+func (n *Node) holdOver() bool {
+	t := &n.term
+	from := n.now.Mono
+	for _, p := range n.cfg.Peers {
+		from = min(from, t.idle[p.Name])
+	}
+	return n.now.Mono > max(t.until, from)+n.rules.hold
+}
+
+// askIdle asks the peers, while the term is in doubt, whether any of them has led.
+func (n *Node) askIdle() {
+	t := &n.term
+	if n.engine == nil || n.certain() || n.now.Mono < t.doubtAt {
+		return
+	}
+	t.doubtAt = n.now.Mono + n.rules.probe
+	for _, p := range n.cfg.Peers {
+		n.emit(PeerCall{Peer: p.Name, Asked: n.now.Mono})
+	}
+}
+
+// idlePeer notes a peer's word that it has not led since our lease ended. Only a
+// process that was running by then can give it: its predecessor might have.
+func (n *Node) idlePeer(r PeerResult) {
+	t := &n.term
+	up := time.Duration(float64(r.UpMs)*(1-drift)) * time.Millisecond
+	if n.engine != nil && r.Taken < t.own && n.now.Mono-up <= t.until {
+		t.idle[r.Peer] = max(t.idle[r.Peer], r.Asked)
+	}
+}
 
 // certain tells whether no other node can have taken the term yet.
 func (n *Node) certain() bool { return n.engine != nil && n.now.Mono < n.term.until }
@@ -103,6 +138,7 @@
 		n.state(forRenew, StateCall{Op: bookkeeping.StateRenew, Lease: t.lease})
 	}
 	if t.own != 0 {
+		n.askIdle()
 		n.askRelease()
 		if n.engine == nil && now > t.until {
 			n.stepDown("the term's lease ended while taking over")
@@ -113,7 +149,7 @@
 		// To ask a peer to let go of nothing is a greeting: whether it answers
 		// tells whether users' requests could be handed to it.
 		t.greetAt = now + n.rules.probe
-		n.emit(PeerCall{Peer: t.leader})
+		n.emit(PeerCall{Peer: t.leader, Asked: now})
 	}
 	if !t.looking && now >= t.lookAt {
 		t.looking = true
@@ -294,6 +330,7 @@
 	t.own, t.taken, t.leader = version, version, n.cfg.Node
 	t.acquired, t.renewAt = n.now.Mono, n.now.Mono
 	t.released, t.askAt = map[string]time.Duration{}, 0
+	t.idle = map[string]time.Duration{}
 	t.loading = &loader{}
 	n.Stats.Terms++
 	n.log(Info, "term taken", "term", version)
@@ -356,7 +393,9 @@
 		// can go on serving its users and send its workers there.
 		n.follow(c.Leader, c.Term)
 	}
-	n.emit(Reply{ID: c.ID, Status: 200, Body: protocol.Encode(protocol.LetGoAnswer{Released: true})})
+	n.emit(Reply{ID: c.ID, Status: 200, Body: protocol.Encode(protocol.LetGoAnswer{
+		Released: true, Taken: t.taken, UpMs: n.now.Mono.Milliseconds(),
+	})})
 }
 
 // askRelease asks every peer that hasn't said so to let go of older terms.
@@ -368,7 +407,7 @@
 	t.askAt = n.now.Mono + n.rules.report/3
 	for _, p := range n.cfg.Peers {
 		if _, ok := t.released[p.Name]; !ok {
-			n.emit(PeerCall{Peer: p.Name, Term: t.own})
+			n.emit(PeerCall{Peer: p.Name, Term: t.own, Asked: n.now.Mono})
 		}
 	}
 }
@@ -376,7 +415,11 @@
 func (n *Node) peerResult(r PeerResult) {
 	t := &n.term
 	if r.Term == 0 {
-		if r.Released && r.Peer == t.leader {
+		switch {
+		case !r.Released: // no answer
+		case n.engine != nil:
+			n.idlePeer(r)
+		case r.Peer == t.leader:
 			t.reached = n.now.Mono
 		}
 		return
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -384,7 +384,7 @@
 						return
 					}
 					w.After(f.Answer, func() {
-						n.back(coordination.PeerResult{Peer: e.Peer, Term: e.Term, Released: a.Released}, life)
+						n.back(coordination.PeerResult{PeerCall: e, LetGoAnswer: a}, life)
 					})
 				})
 			})
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -220,7 +220,9 @@
 
 // LetGoAnswer says whether the node has let go of every term below.
 type LetGoAnswer struct {
-	Released bool `msgpack:"released"`
+	Released bool  `msgpack:"released"`
+	Taken    int64 `msgpack:"taken"` // the last term that this process has taken; 0: none
+	UpMs     int64 `msgpack:"up_ms"` // for how long it has been running
 }
 
 // SplitJobPath takes apart the path of a request about jobs: the job's id
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -215,12 +215,13 @@
 func (p *Peers) LetGo(ctx context.Context, c coordination.PeerCall) coordination.PeerResult {
 	ctx, cancel := context.WithTimeout(ctx, p.wait)
 	defer cancel()
-	r := coordination.PeerResult{Peer: c.Peer, Term: c.Term}
+	r := coordination.PeerResult{PeerCall: c}
 	res, raw, err := p.call(ctx, c.Peer, http.MethodPost, protocol.PathLetGo, protocol.Encode(protocol.LetGo{Term: c.Term, Leader: p.own}))
 	if err != nil || res.StatusCode != http.StatusOK {
 		return r
 	}
-	var a protocol.LetGoAnswer
-	r.Released = protocol.Decode(raw, &a) == nil && a.Released
+	if protocol.Decode(raw, &r.LetGoAnswer) != nil {
+		r.LetGoAnswer = protocol.LetGoAnswer{}
+	}
 	return r
 }
