--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -443,6 +443,11 @@
 }
 
 func (e *engine) answerJob(id uint64, status int, j *job, counts bool) {
+	if j.Cancelled && j.cancelKnown && !e.mayTell(j) {
+		// Another leader may have told it already: nothing else may be said either.
+		e.n.refuse(id, "its tasks can't be stopped yet")
+		return
+	}
 	a := protocol.JobAnswer{ID: j.ID, Status: protocol.StatusQueued}
 	running := 0
 	for _, t := range j.tasks {
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -20,6 +20,7 @@
 
 	session, seq   int64         // of the newest message
 	sessionAt      time.Duration // when the session was first heard of
+	token          int64         // highest that the worker has said to have seen
 	beatSess, beat int64         // of the newest report
 	dead           int64         // sessions up to this one have certainly lapsed
 	heard          time.Duration
@@ -169,6 +170,7 @@
 		e.booted(h)
 	}
 	h.up, h.session, h.seq, h.heard = true, r.Session, r.Seq, now
+	h.token = max(h.token, r.Token)
 	if r.Notice >= 0 && h.noticeAt == 0 {
 		h.noticeAt = now + time.Duration(r.Notice*float64(time.Second))
 		e.notice(h)
@@ -433,14 +435,7 @@
 			}
 		}
 		if len(h.tasks) > 0 || h.up {
-			from := base
-			if h.wasAnswered {
-				from = max(base, h.answered)
-			}
-			// A session's lease runs at least from its beginning, which was no
-			// later than when we first heard of it.
-			from = max(from, h.sessionAt)
-			if now > from+e.rules.lease && h.session > h.dead {
+			if now > h.lapses(e, base) && h.session > h.dead {
 				h.dead = h.session
 				h.noticeAt = 0
 				if len(h.tasks) > 0 {
@@ -481,6 +476,31 @@
 	}
 }
 
+// lapses is when a machine's session has certainly lapsed if nothing more is
+// heard; base is when every earlier leader had stopped answering.
+func (h *host) lapses(e *engine, base time.Duration) time.Duration {
+	if h.wasAnswered {
+		base = max(base, h.answered)
+	}
+	// A session's lease runs at least from its beginning, which was no later than
+	// when we first heard of it.
+	return max(base, h.sessionAt) + e.rules.lease
+}
+
+// mayTell tells whether the user of a cancelled job may hear that it is. Its
+// tasks have to be gone in time, also on a machine that only a predecessor
+// reaches, which knows nothing of it and may answer for its hold: until a worker
+// has seen our token, or its lease will lapse in time, the user is to come back.
+func (e *engine) mayTell(j *job) bool {
+	base := e.n.lapseBase()
+	for _, t := range j.tasks {
+		if h := t.host; h.token < e.firstT && h.lapses(e, base) > e.n.now.Mono+e.rules.tell {
+			return false
+		}
+	}
+	return true
+}
+
 // deafLeast is how many machines have to be silent at once before the leader
 // blames itself.
 const deafLeast = 3
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -20,6 +20,7 @@
 	healthFor time.Duration
 	probe     time.Duration // between a follower's greetings to the leader
 	reach     time.Duration // after which a leader that doesn't answer them counts as out of reach
+	tell      time.Duration // within which the tasks of a cancelled job have to be gone, from when its user is told
 	cancel    time.Duration // after which a machine that may not obey isn't answered
 	deaf      time.Duration // a machine that has been silent for so long should have reported
 	shun      time.Duration // how long a node that gave up the term leaves it to others
@@ -45,13 +46,12 @@
 		answer: sec(w.Report * 0.75),
 		retry:  sec(w.Report / 20),
 		raise:  sec(w.Lease / 4),
+		tell:   sec(w.Cancel*(1-drift) - w.Report/4),
 		look:   sec(w.Report / 40),
 		deaf:   sec(w.Report * 1.5),
+		hold:   sec(w.Lease * 2),
 		cancel: sec(w.Cancel - w.Lease*(1+2*drift) - w.Report),
 	}
-	// What a successor has told to be cancelled has to be gone in time, also on a
-	// worker that only its predecessor reaches.
-	r.hold = max(0, min(sec(w.Lease*2), r.cancel))
 	r.shun = r.ttl * 2
 	r.perWait = r.look / 1000
 	r.healthFor = r.ttl * 6
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -911,9 +911,9 @@
 }
 
 // A job is cancelled by the successor of a leader that alone still reaches its
-// worker: the predecessor's hold must end soon enough for the worker's lease to
-// end the task in time.
-func TestHoldEndsBeforeACancellationIsDue(t *testing.T) {
+// worker. The user may hear of it only once the predecessor's hold and the
+// worker's lease will have ended the task in time, and is then told.
+func TestCancellationIsToldOnceItCanBeKept(t *testing.T) {
 	w := world(t)
 	spare(t, w)
 	j := w.Submit(service(1, 1), 0)
@@ -928,11 +928,8 @@
 	if !w.Until(10*time.Second, func() bool { return w.Nodes[1].Leads() || w.Nodes[2].Leads() }) {
 		t.Fatal("nobody took over")
 	}
-	w.Nodes[0].Up = false // users can't reach it either
 	w.CancelJob(j)
-	w.Until(time.Second, func() bool { return j.Cancelled })
-	w.Nodes[0].Up = true
-	if !j.Cancelled {
+	if !w.Until(25*time.Second, func() bool { return j.Cancelled }) {
 		t.Fatal("never told that it is cancelled")
 	}
 	w.Run(60 * time.Second)
