--- a/internal/bookkeeping/client.go
+++ b/internal/bookkeeping/client.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"oakpick/internal/config"
 	"oakpick/internal/protocol"
 )
 
@@ -95,7 +96,7 @@
 			MaxIdleConnDuration: 10 * wait,
 		}
 	}
-	return &Client{calls: host(6, wait/2), renewals: host(4, renewWait/2), wait: wait, renewWait: renewWait}
+	return &Client{calls: host(config.StateCalls, wait/2), renewals: host(config.StateRenewals, renewWait/2), wait: wait, renewWait: renewWait}
 }
 
 // Do makes a call and waits for its outcome.
--- /dev/null
+++ b/internal/config/budget.go
@@ -0,0 +1,49 @@
+package config
+
+import "fmt"
+
+// Connections that a process needs beside those of users and workers, at most.
+const (
+	// StateCalls and StateRenewals are the connections to the state service.
+	StateCalls    = 6
+	StateRenewals = 4
+	// CloudCalls are those to the cloud.
+	CloudCalls = 6
+	perPeer    = 4 // both ways, while one replaces another
+	spare      = 8 // listeners, the runtime's own, and operators' tools
+	atLeast    = 16
+)
+
+// Sockets is how max_connections is shared out.
+type Sockets struct {
+	Front    int // users, workers and health checks
+	Commands int // direct commands to workers, at least
+	shared   int // both together
+}
+
+// Sockets shares out the sockets. Workers' own connections, users and health
+// checks have their place first.
+func (s *Settings) Sockets() Sockets {
+	shared := s.Limits.MaxConnections - s.ownSockets()
+	commands := max(1, shared/16)
+	return Sockets{Front: shared - commands, Commands: commands, shared: shared}
+}
+
+func (s *Settings) ownSockets() int {
+	return StateCalls + StateRenewals + CloudCalls + perPeer*(s.Size-1) + spare
+}
+
+// CommandsNow is how many connections direct commands may take while the front
+// holds so many: what is left, a quarter of all at most.
+func (s Sockets) CommandsNow(front int) int {
+	return max(s.Commands, min(s.shared/4, s.shared-front))
+}
+
+// budgets names the fields with which a process can't do its work at all.
+func (s *Settings) budgets() (problems []error) {
+	if need := s.ownSockets() + atLeast; s.Limits.MaxConnections < need {
+		problems = append(problems, fmt.Errorf("settings: settings.limits.max_connections: %d can't hold what %d controllers need: %d",
+			s.Limits.MaxConnections, s.Size, need))
+	}
+	return problems
+}
--- /dev/null
+++ b/internal/config/budget_test.go
@@ -0,0 +1,29 @@
+package config
+
+import "testing"
+
+// At 1.5 times the largest fleet seen there is less than two connections a
+// machine: the front has its place first, and commands share what it leaves.
+func TestSocketsAreSharedOut(t *testing.T) {
+	for _, x := range []struct{ most, size, workers, users int }{
+		{2590, 3, 1840, 200}, {2356, 5, 1101, 300}, {700, 3, 64, 100}, {900, 3, 440, 100}, {64, 3, 8, 4},
+	} {
+		s := Settings{Size: x.size, Limits: Limits{MaxConnections: x.most}}
+		if p := s.budgets(); len(p) > 0 {
+			t.Fatal(p)
+		}
+		k := s.Sockets()
+		if front := x.workers + x.users; k.Front < front {
+			t.Errorf("%d sockets: %d for the front, which needs %d", x.most, k.Front, front)
+		}
+		for front := 0; front <= k.Front; front++ {
+			if n := k.CommandsNow(front); n < 1 || front+n+s.ownSockets() > x.most {
+				t.Fatalf("%d sockets: %d for commands beside %d of the front", x.most, n, front)
+			}
+		}
+	}
+	s := Settings{Size: 5, Limits: Limits{MaxConnections: 48}}
+	if len(s.budgets()) == 0 {
+		t.Error("five controllers can't do with 48 sockets")
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -131,6 +131,9 @@
 	}
 	problems = append(problems, unique("settings.teams", c.Settings.Teams, func(t Team) string { return t.Name })...)
 	problems = append(problems, unique("others", c.Peers, func(p Peer) string { return p.Name })...)
+	if len(problems) == 0 {
+		problems = append(problems, c.Settings.budgets()...)
+	}
 	for _, p := range c.Peers {
 		if p.Name == c.Node && p.Name != "" {
 			problems = append(problems, fmt.Errorf("settings: others: names this node, %q", p.Name))
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -152,6 +152,9 @@
 	if !r.Newer(h.session, h.seq) && h.up || r.Session < h.session {
 		return
 	}
+	if h.fails > 0 && now-h.heard > e.rules.deaf {
+		h.next = now // it is back
+	}
 	if r.Session > h.session || !h.up {
 		e.schedule = true
 	}
@@ -397,6 +400,11 @@
 	if h.fails > 0 {
 		e.wake(h)
 		h.next = now + min(e.rules.report/6<<min(h.fails, 5), e.rules.lease/2)
+		if now-h.heard > e.rules.deaf {
+			// It is silent itself. Hundreds may be, and each try takes a connection
+			// for a while: they are left alone until they report.
+			h.next = now + e.rules.lease/2
+		}
 		h.pauseUntil = max(h.pauseUntil, now+e.rules.report/2)
 	}
 	if c.Report == nil || c.Report.Host != h.name {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,18 +86,18 @@
 		node:    coordination.New(cfg, hex.EncodeToString(seed[:8]), binary.LittleEndian.Uint64(seed[8:])),
 		metrics: newMetrics(),
 		queue:   make(chan item, 4*batch), waits: map[uint64]waiter{},
-		state:   bookkeeping.NewClient(cfg.Services.State, report/2, ttl/4),
-		workers: transport.NewWorkers(s.Workers),
-		cloud:   transport.NewCloud(cfg.Services.Cloud, s.Workers),
-		peers:   transport.NewPeers(cfg.Node, cfg.Peers, s.Workers),
+		state: bookkeeping.NewClient(cfg.Services.State, report/2, ttl/4),
+		cloud: transport.NewCloud(cfg.Services.Cloud, s.Workers),
+		peers: transport.NewPeers(cfg.Node, cfg.Peers, s.Workers),
 	}
 	d.healthy.Store(true)
 	limit := transport.NewLimit(s.Limits.MaxConnections/4, report, func() { d.metrics.shed.Add(1) })
-	connections := s.Limits.MaxConnections * 3 / 4
-	fs := transport.NewFront(d, limit, connections, report)
+	sockets := s.Sockets()
+	fs := transport.NewFront(d, limit, sockets.Front, config.Seconds(s.Workers.Lease))
+	d.workers = transport.NewWorkers(s.Workers, func() int { return sockets.CommandsNow(fs.Open()) })
 	ps := transport.NewPeerServer(d, limit, newAdmin(d, limit))
 	group.Go(func() error { return fs.Serve(front) })
-	group.Go(func() error { return ps.Serve(ctx, cluster, connections, 40*report) })
+	group.Go(func() error { return ps.Serve(ctx, cluster, sockets.Front, 40*report) })
 	group.Go(func() error { d.own(); return nil })
 	group.Go(func() error { <-ctx.Done(); _ = front.Close(); return ctx.Err() })
 	log.Info("oakpick serves", "node", cfg.Node, "front", cfg.Listen, "cluster", cfg.PeerListen)
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -4,12 +4,14 @@
 
 import (
 	"bytes"
+	"container/list"
 	"context"
 	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -21,22 +23,73 @@
 	"oakpick/internal/protocol"
 )
 
-// Workers sends direct commands to workers.
+// Workers sends direct commands to workers, over a bounded number of connections.
+// One that is idle stays open until another machine needs its place, the least
+// recently used first. When all are in use, a command isn't sent: machines that
+// hang can't keep it from the others for longer than a call takes.
 type Workers struct {
-	client *fasthttp.Client
-	wait   time.Duration
+	wait time.Duration
+	most func() int
+	dial fasthttp.DialFunc
+
+	mu   sync.Mutex
+	open int // idle and in use
+	idle *list.List
+	by   map[string]*list.Element // of the idle, by address
+}
+
+// link is a connection to one worker.
+type link struct {
+	addr   string
+	client *fasthttp.HostClient
 }
 
-// NewWorkers makes the client.
-func NewWorkers(w config.Workers) *Workers {
+// NewWorkers makes the client; most tells how many connections it may hold now.
+func NewWorkers(w config.Workers, most func() int) *Workers {
 	wait := config.Seconds(w.Report * 0.75)
-	return &Workers{wait: wait, client: &fasthttp.Client{
-		Dial: bookkeeping.Dial(wait * 2 / 3), MaxConnsPerHost: 2, MaxIdemponentCallAttempts: 1, RetryIfErr: bookkeeping.NoRetry,
+	return &Workers{wait: wait, most: most, dial: bookkeeping.Dial(wait * 2 / 3), idle: list.New(), by: map[string]*list.Element{}}
+}
+
+// take gives the worker's idle connection, or room for a new one, or nil.
+func (w *Workers) take(addr string) *link {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if e := w.by[addr]; e != nil {
+		return w.drop(e)
+	}
+	for most := w.most(); w.open >= most; w.open-- {
+		e := w.idle.Front()
+		if e == nil {
+			return nil
+		}
+		w.drop(e).client.CloseIdleConnections()
+	}
+	w.open++
+	return &link{addr, &fasthttp.HostClient{
+		Addr: addr, Dial: w.dial, MaxConns: 1, MaxIdemponentCallAttempts: 1, RetryIfErr: bookkeeping.NoRetry,
 		MaxResponseBodySize: protocol.MaxBody, NoDefaultUserAgentHeader: true,
-		MaxIdleConnDuration: config.Seconds(w.Report * 20),
+		MaxIdleConnDuration: w.wait * 24,
 	}}
 }
 
+func (w *Workers) drop(e *list.Element) *link {
+	l := w.idle.Remove(e).(*link)
+	delete(w.by, l.addr)
+	return l
+}
+
+// put keeps a connection for the next command, or closes it after a failure.
+func (w *Workers) put(l *link, well bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !well || w.by[l.addr] != nil {
+		l.client.CloseIdleConnections()
+		w.open--
+		return
+	}
+	w.by[l.addr] = w.idle.PushBack(l)
+}
+
 // Send sends commands and waits for the worker's word.
 func (w *Workers) Send(c coordination.OrdersCall) coordination.OrdersResult {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -47,7 +100,14 @@
 	req.Header.SetContentType(protocol.ContentType)
 	req.SetBody(protocol.EncodeOrders(c.Token, c.Session, c.Commands))
 	r := coordination.OrdersResult{ID: c.ID, Host: c.Host}
-	if err := w.client.DoTimeout(req, res, w.wait); err != nil {
+	l := w.take(c.Addr)
+	if l == nil {
+		r.Outcome = coordination.NotSent
+		return r
+	}
+	err := l.client.DoTimeout(req, res, w.wait)
+	w.put(l, err == nil)
+	if err != nil {
 		r.Outcome = bookkeeping.Failure(err)
 		return r
 	}
@@ -81,7 +141,7 @@
 func NewCloud(addr string, w config.Workers) *Cloud {
 	wait := config.Seconds(w.Report * 1.5)
 	return &Cloud{wait: wait, client: &fasthttp.HostClient{
-		Addr: addr, Dial: bookkeeping.Dial(wait / 2), MaxConns: 6, MaxIdemponentCallAttempts: 1, RetryIfErr: bookkeeping.NoRetry,
+		Addr: addr, Dial: bookkeeping.Dial(wait / 2), MaxConns: config.CloudCalls, MaxIdemponentCallAttempts: 1, RetryIfErr: bookkeeping.NoRetry,
 		MaxResponseBodySize: 1 << 20, NoDefaultUserAgentHeader: true,
 	}}
 }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -47,12 +47,14 @@
 	return protocol.SubmitWaitS * time.Second * 3 / 4
 }
 
-// NewFront makes the front. It holds at most so many connections.
-func NewFront(owner Owner, limit *Limit, connections int, report time.Duration) *Front {
+// NewFront makes the front. It holds at most so many connections, and none that
+// has been idle for so long: a worker that was silent for its lease has lost it,
+// and the connections of machines that were cut off must not take others' places.
+func NewFront(owner Owner, limit *Limit, connections int, idle time.Duration) *Front {
 	f := &Front{owner: owner, limit: limit}
 	f.server = &fasthttp.Server{
 		Handler: f.handle, Concurrency: connections, MaxRequestBodySize: protocol.MaxBody,
-		ReadTimeout: 0, IdleTimeout: 40 * report, WriteTimeout: 4 * report,
+		ReadTimeout: 0, IdleTimeout: idle, WriteTimeout: idle,
 		ReadBufferSize: 4096, WriteBufferSize: 4096, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
 		Logger: quiet{},
@@ -70,6 +72,9 @@
 
 func (quiet) Printf(string, ...any) {}
 
+// Open is how many connections there are.
+func (f *Front) Open() int { return int(f.server.GetOpenConnectionsCount()) }
+
 // Serve serves a listener until it is closed.
 func (f *Front) Serve(l net.Listener) error { return f.server.Serve(l) }
 
