--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"oakpick/internal/config"
 	"oakpick/internal/protocol"
 )
 
@@ -32,36 +33,37 @@
 func NewWait(then func()) *Wait { return &Wait{then: then} }
 
 type page struct {
-	number  int
-	version int64
-	items   []Item
-	dirty   bool
-	since   time.Duration
-	waits   []*Wait
+	number   int
+	version  int64
+	items    []Item
+	reserved int // what its items may grow to
+	dirty    bool
+	flying   bool // in a transaction under way
+	since    time.Duration
+	waits    []*Wait
 }
 
 func (p *page) key() string { return fmt.Sprintf("%s%06d", Prefix, p.number) }
 
-func (p *page) reserved() int {
-	n := pageSize
-	for _, it := range p.items {
-		n += it.Reserve()
-	}
-	return n
-}
-
-// flight is the one transaction that may be under way.
-type flight struct {
-	id    string
-	txn   protocol.Txn
+// Flight is a transaction under way.
+type Flight struct {
+	ID    string // in the value of every page that it writes
+	Txn   protocol.Txn
 	pages []*page
 	waits [][]*Wait
 	sent  bool
 	again time.Duration
 }
 
-// Book packs facts into pages and decides what is written when. It has one
-// transaction in flight at a time and never changes what a retry carries: a
+// Key names a page that tells, by the write's id, whether the flight landed.
+func (f *Flight) Key() string { return f.pages[0].key() }
+
+// Flights is how many transactions may be under way at a time, each for pages of
+// its own. The state service's other calls keep two connections.
+const Flights = config.StateCalls - 2
+
+// Book packs facts into pages and decides what is written when. It never has a
+// page in two transactions at a time and never changes what a retry carries: a
 // copy of the first try that lands late is then the same write or a failed one.
 type Book struct {
 	limit   int
@@ -70,7 +72,7 @@
 	pages   []*page
 	where   map[Item]*page
 	dirty   []*page // oldest first
-	flight  *flight
+	flights []*Flight
 	prefix  string
 	counter int64
 	retry   time.Duration
@@ -93,12 +95,13 @@
 // Load notes an item read from a page.
 func (b *Book) Load(number int, version int64, items ...Item) {
 	for len(b.pages) <= number {
-		b.pages = append(b.pages, &page{number: len(b.pages)})
+		b.newPage()
 	}
 	p := b.pages[number]
 	p.version = version
 	for _, it := range items {
 		p.items = append(p.items, it)
+		p.reserved += it.Reserve()
 		b.where[it] = p
 	}
 }
@@ -121,6 +124,7 @@
 	if p == nil {
 		p = b.room(it.Reserve())
 		p.items = append(p.items, it)
+		p.reserved += it.Reserve()
 		b.where[it] = p
 	}
 	b.mark(now, p, w)
@@ -133,6 +137,7 @@
 	delete(b.where, old)
 	b.where[fresh] = p
 	p.items[slices.Index(p.items, old)] = fresh
+	p.reserved += fresh.Reserve() - old.Reserve()
 	b.mark(now, p, w)
 }
 
@@ -144,9 +149,16 @@
 	}
 	delete(b.where, it)
 	p.items = slices.DeleteFunc(p.items, func(x Item) bool { return x == it })
+	p.reserved -= it.Reserve()
 	b.mark(now, p, w)
 }
 
+func (b *Book) newPage() *page {
+	p := &page{number: len(b.pages), reserved: pageSize}
+	b.pages = append(b.pages, p)
+	return p
+}
+
 func (b *Book) mark(now time.Duration, p *page, w *Wait) {
 	if !p.dirty {
 		p.dirty, p.since = true, now
@@ -159,66 +171,66 @@
 }
 
 // room picks a page: one that will be written anyway, else the first with
-// space, else a new one.
+// space, else a new one; none that would have to wait for a write under way.
 func (b *Book) room(need int) *page {
-	for _, p := range b.dirty {
-		if p.reserved()+need <= b.limit {
-			return p
-		}
-	}
-	for _, p := range b.pages {
-		if p.reserved()+need <= b.limit {
-			return p
+	for _, pages := range [][]*page{b.dirty, b.pages} {
+		for _, p := range pages {
+			if !p.flying && p.reserved+need <= b.limit {
+				return p
+			}
 		}
 	}
-	p := &page{number: len(b.pages)}
-	b.pages = append(b.pages, p)
-	return p
+	return b.newPage()
 }
 
-// Next gives the transaction to send now, if any: conditional on the term's key
-// and on every page's version.
-func (b *Book) Next(now time.Duration, term protocol.Condition) *protocol.Txn {
-	f := b.flight
-	if f == nil {
-		if len(b.dirty) == 0 {
-			return nil
+// Next gives a transaction to send now, if any: conditional on the term's key and
+// on every page's version. Ask again until there is none. Unless more may begin,
+// only those already under way are sent again.
+func (b *Book) Next(now time.Duration, term protocol.Condition, more bool) *Flight {
+	for _, f := range b.flights {
+		if !f.sent && now >= f.again && b.budget.AllowN(at(now), len(f.pages)) {
+			f.sent = true
+			return f
 		}
-		n := min(len(b.dirty), b.ops, max(1, int(b.budget.TokensAt(at(now)))))
-		if !b.budget.AllowN(at(now), n) {
-			return nil
-		}
-		b.counter++
-		f = &flight{id: fmt.Sprintf("%s-%d", b.prefix, b.counter), again: now}
-		f.txn.If = append(f.txn.If, term)
-		for _, p := range b.dirty[:n] {
-			v := &PageValue{ID: f.id}
-			for _, it := range p.items {
-				it.Emit(v)
-			}
-			f.txn.If = append(f.txn.If, protocol.Condition{Key: p.key(), Version: p.version})
-			f.txn.Then = append(f.txn.Then, protocol.Change{Put: p.key(), Value: v})
-			f.pages = append(f.pages, p)
-			f.waits = append(f.waits, p.waits)
-			p.dirty, p.waits = false, nil
+	}
+	if !more || len(b.flights) >= Flights {
+		return nil
+	}
+	var pages []*page
+	most := min(b.ops, max(1, int(b.budget.TokensAt(at(now)))))
+	for _, p := range b.dirty {
+		if !p.flying && len(pages) < most {
+			pages = append(pages, p)
 		}
-		b.dirty = slices.Delete(b.dirty, 0, n)
-		b.flight = f
-	} else if f.sent || now < f.again || !b.budget.AllowN(at(now), len(f.pages)) {
+	}
+	if len(pages) == 0 || !b.budget.AllowN(at(now), len(pages)) {
 		return nil
 	}
-	f.sent = true
-	return &f.txn
+	b.counter++
+	f := &Flight{ID: fmt.Sprintf("%s-%d", b.prefix, b.counter), pages: pages, sent: true}
+	f.Txn.If = append(f.Txn.If, term)
+	for _, p := range pages {
+		v := &PageValue{ID: f.ID}
+		for _, it := range p.items {
+			it.Emit(v)
+		}
+		f.Txn.If = append(f.Txn.If, protocol.Condition{Key: p.key(), Version: p.version})
+		f.Txn.Then = append(f.Txn.Then, protocol.Change{Put: p.key(), Value: v})
+		f.waits = append(f.waits, p.waits)
+		p.dirty, p.flying, p.waits = false, true, nil
+	}
+	b.dirty = slices.DeleteFunc(b.dirty, func(p *page) bool { return !p.dirty })
+	b.flights = append(b.flights, f)
+	return f
 }
 
 func at(now time.Duration) time.Time { return time.Unix(1, 0).Add(now) }
 
-// Landed notes that the transaction in flight was committed with a version.
-func (b *Book) Landed(version int64) {
-	f := b.flight
-	b.flight = nil
+// Landed notes that a transaction was committed with a version.
+func (b *Book) Landed(f *Flight, version int64) {
+	b.flights = slices.DeleteFunc(b.flights, func(x *Flight) bool { return x == f })
 	for _, p := range f.pages {
-		p.version = version
+		p.version, p.flying = version, false
 	}
 	for _, ws := range f.waits {
 		for _, w := range ws {
@@ -229,24 +241,12 @@
 	}
 }
 
-// Again notes that the transaction wasn't executed, or that nobody knows: the
-// same one is sent again later.
-func (b *Book) Again(now time.Duration) {
-	if b.flight != nil {
-		b.flight.sent, b.flight.again = false, now+b.retry
-	}
-}
-
-// FlightID names the write in flight, and a key that tells whether it landed.
-func (b *Book) FlightID() (id, key string) {
-	if b.flight == nil {
-		return "", ""
-	}
-	return b.flight.id, b.flight.pages[0].key()
-}
+// Again notes that a transaction wasn't executed, or that nobody knows: the same
+// one is sent again later.
+func (b *Book) Again(now time.Duration, f *Flight) { f.sent, f.again = false, now+b.retry }
 
 // InFlight tells whether a transaction is under way.
-func (b *Book) InFlight() bool { return b.flight != nil }
+func (b *Book) InFlight() bool { return len(b.flights) > 0 }
 
 // Backlog is how many pages wait to be written, and since when the oldest does.
 func (b *Book) Backlog(now time.Duration) (pages int, oldest time.Duration) {
--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -177,7 +177,8 @@
 	byName  []*host
 	gone    map[string]time.Duration // machines returned, by when
 
-	txnCall   uint64
+	flights   map[uint64]*bookkeeping.Flight // by the call that carries them, or asks about them
+	drain     bool                           // no new writes: the token is to be raised
 	raising   *protocol.Txn
 	raiseSent bool
 	raiseNext time.Duration
@@ -200,7 +201,7 @@
 	e := &engine{
 		n: n, rules: n.rules, opt: DefaultOptions(n.cfg), token: n.term.own, firstT: n.term.own, ledAt: n.now.Mono,
 		jobs: map[string]*job{}, finals: map[string]*final{}, teams: map[string]*team{}, hosts: map[string]*host{},
-		gone: map[string]time.Duration{}, schedule: true, classes: map[string]*class{}, within: map[string]float64{},
+		gone: map[string]time.Duration{}, flights: map[uint64]*bookkeeping.Flight{}, schedule: true, classes: map[string]*class{}, within: map[string]float64{},
 	}
 	for _, o := range s.Objectives {
 		if o.Kind == "wait" {
@@ -873,30 +874,28 @@
 	n := e.n
 	switch why {
 	case forPageTxn:
-		if r.ID != e.txnCall {
-			return
-		}
-		e.txnCall = 0
+		f := e.flights[r.ID]
+		delete(e.flights, r.ID)
 		switch r.Outcome {
 		case OK:
-			e.book.Landed(r.Number)
+			e.book.Landed(f, r.Number)
 		case Conflict, Invalid:
 			// An earlier copy may have landed: the page tells by the write's id.
-			_, key := e.book.FlightID()
-			n.state(forPageCheck, StateCall{Op: bookkeeping.StateGet, Key: key})
+			e.checkFlight(f)
 		default:
 			n.Stats.Retries++
-			e.book.Again(n.now.Mono)
+			e.book.Again(n.now.Mono, f)
 		}
 	case forPageCheck:
-		id, key := e.book.FlightID()
+		f := e.flights[r.ID]
+		delete(e.flights, r.ID)
 		if r.Outcome != OK && r.Outcome != NotFound {
-			n.state(forPageCheck, StateCall{Op: bookkeeping.StateGet, Key: key})
+			e.checkFlight(f)
 			return
 		}
 		var v bookkeeping.PageValue
-		if r.Outcome == OK && protocol.Decode(r.Entry.Value, &v) == nil && v.ID == id {
-			e.book.Landed(r.Entry.Version)
+		if r.Outcome == OK && protocol.Decode(r.Entry.Value, &v) == nil && v.ID == f.ID {
+			e.book.Landed(f, r.Entry.Version)
 			return
 		}
 		n.stepDown("a write met another leader's")
@@ -907,16 +906,20 @@
 
 func (e *engine) flush() {
 	n := e.n
-	if e.txnCall != 0 || e.raising != nil || !n.certain() {
-		return
-	}
-	txn := e.book.Next(n.now.Mono, protocol.Condition{Key: LeaderKey, Version: e.token})
-	if txn == nil {
-		return
+	for e.raising == nil && n.certain() {
+		f := e.book.Next(n.now.Mono, protocol.Condition{Key: LeaderKey, Version: e.token}, !e.drain)
+		if f == nil {
+			return
+		}
+		n.Stats.Txns++
+		n.state(forPageTxn, StateCall{Op: bookkeeping.StateTxn, Txn: f.Txn})
+		e.flights[n.nextID] = f
 	}
-	n.Stats.Txns++
-	n.state(forPageTxn, StateCall{Op: bookkeeping.StateTxn, Txn: *txn})
-	e.txnCall = n.nextID
+}
+
+func (e *engine) checkFlight(f *bookkeeping.Flight) {
+	e.n.state(forPageCheck, StateCall{Op: bookkeeping.StateGet, Key: f.Key()})
+	e.flights[e.n.nextID] = f
 }
 
 // raiseToken writes the leader's key anew. Its new version is a higher token:
@@ -926,9 +929,12 @@
 	n := e.n
 	now := n.now.Mono
 	if e.raising == nil {
-		if e.book.InFlight() || now < e.raisedAt+e.rules.raise || !n.certain() {
+		if now < e.raisedAt+e.rules.raise || !n.certain() {
 			return
 		}
+		if e.drain = e.book.InFlight(); e.drain {
+			return // what is under way is conditional on the token as it is
+		}
 		e.raiseRev++
 		e.raisedAt = now
 		e.raising = &protocol.Txn{
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -475,6 +475,8 @@
 	}
 	if raise || e.raising != nil {
 		e.raiseToken()
+	} else {
+		e.drain = false
 	}
 	// All of them at once: it is this node that the workers can't reach, and they
 	// know no other that would answer them. Another has to lead before their
