--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -379,9 +379,20 @@
 		}
 	}
 	firstNew := len(bins)
+	// Room only shrinks here: where there was none for one task, there is none for
+	// the next of its shape.
+	type asked struct {
+		shape
+		spotOnly bool
+	}
+	from := map[asked]int{}
 	want := func(j *job, n int, use map[string]int, spotOnly bool) {
 		for n > 0 {
-			b := e.pack(bins, j, use, spotOnly)
+			k := asked{j.shape(), spotOnly}
+			b := e.pack(bins[from[k]:], j, use, spotOnly)
+			if b == nil && !j.Spread && !j.OneZone {
+				from[k] = len(bins)
+			}
 			o, ok := e.cheapest(j, use, n, spotOnly)
 			if b == nil || ok && e.sooner(j, b, o) {
 				if !ok {
@@ -391,14 +402,14 @@
 				bins = append(bins, b)
 			}
 			// The bin that was best for one task is so for the next, until it is full.
-			k := 1
+			c := 1
 			if !j.Spread {
-				k = j.need.count(b.room, n)
+				c = j.need.count(b.room, n)
 			}
-			b.room = b.room.minus(j.need.times(float64(k)))
+			b.room = b.room.minus(j.need.times(float64(c)))
 			b.used = true
-			use[b.offer.zone] += k
-			n -= k
+			use[b.offer.zone] += c
+			n -= c
 		}
 	}
 	for _, w := range f.unplaced {
@@ -422,7 +433,15 @@
 		counts[b.offer]++
 	}
 	for _, o := range offers {
-		e.rent(o, min(counts[o], 50))
+		// What is asked for is in the next plan already, so several requests for one
+		// offer are no more machines, only sooner.
+		for left := counts[o]; left > 0; {
+			asked := e.rent(o, min(left, protocol.MaxRented))
+			if asked == 0 {
+				break
+			}
+			left -= asked
+		}
 	}
 	if !slices.ContainsFunc(offers, func(o offer) bool { return !o.spot }) {
 		e.consolidate(bins)
@@ -530,26 +549,33 @@
 	return best, !math.IsInf(bestCost, 1)
 }
 
-// rent records a request for machines; it is made once that is durable.
-func (e *engine) rent(o offer, count int) {
+// rent records a request for machines; it is made once that is durable. No more
+// are open than the cloud answers in a second or two. It tells how many machines
+// the request is for; 0: none was made.
+func (e *engine) rent(o offer, count int) int {
 	f, now := &e.fleet, e.n.now.Mono
+	open := 0
 	for _, r := range f.rentals {
-		if !r.Answered && r.Type == o.kind && r.Zone == o.zone && r.Spot == o.spot {
-			return // one at a time for each offer
+		if !r.Answered {
+			open++
 		}
 	}
+	if float64(open) >= max(2, 1.5*e.n.cfg.Settings.Cloud.RPS) {
+		return 0
+	}
 	f.counter++
 	r := &rental{RentalRecord: bookkeeping.RentalRecord{
 		Request: fmt.Sprintf("oakpick-%d-%d", e.firstT, f.counter), Type: o.kind, Zone: o.zone, Spot: o.spot, Count: count, AtMs: e.n.now.WallMs,
 	}}
-	if !e.book.Fits(r) {
-		r.Count = 1
+	for r.Count > 1 && !e.book.Fits(r) { // its answer has to be kept on a page
+		r.Count /= 2
 	}
 	f.rentals = append(f.rentals, r)
 	e.book.Touch(now, r, bookkeeping.NewWait(func() {
 		r.ready = true
 		e.fleet.planAt = 0
 	}))
+	return r.Count
 }
 
 // giveBack returns machines that are empty, have failed or never came up.
@@ -558,7 +584,7 @@
 	var back []string
 	for _, h := range e.byName {
 		mt := e.fleet.kind(h.kind)
-		if h.returnCall || len(back) >= 100 {
+		if h.returnCall || len(back) >= protocol.MaxReturned {
 			continue
 		}
 		why := ""
--- /dev/null
+++ b/internal/coordination/scale_test.go
@@ -0,0 +1,135 @@
+package coordination_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"oakpick/internal/coordination"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+)
+
+// fleetOf makes a world with so many machines up, each with a replica of a job of
+// fifty, and the leader among its nodes.
+func fleetOf(t testing.TB, machines int) (*fake.World, *fake.Node) {
+	t.Helper()
+	s := fake.Settings()
+	s.Teams = s.Teams[:1]
+	s.Teams[0].CPUs, s.Teams[0].CPUsMax = 1e6, 0
+	s.Workers.Report, s.Workers.Lease, s.Workers.Cancel = 5, 26.5, 56.5
+	s.State.WriteRPS, s.State.ValueKB, s.State.TxnOps = 400, 8, 8
+	s.Cloud.RPS = 12
+	w := fake.NewWorld(s)
+	w.Cloud.Most = machines / 2 // in each of two zones
+	for i := range machines / 50 {
+		j := service(i+1, 50)
+		j.Team, j.CPUs, j.Types = "red", 3, []string{"small"}
+		w.Submit(j, 0)
+	}
+	if !w.Until(60*time.Second, func() bool { return len(w.Names()) >= machines }) {
+		t.Fatalf("%d machines are up", len(w.Names()))
+	}
+	w.Run(10 * time.Second)
+	n := w.Leader()
+	if n == nil {
+		t.Fatal("nobody leads")
+	}
+	return w, n
+}
+
+// waiting hands in jobs for which there is no room and will be none.
+func waiting(w *fake.World, jobs int) {
+	for i := range jobs {
+		j := service(1000+i, 4)
+		j.Team, j.CPUs, j.Types = "red", 4, []string{"small"}
+		w.Submit(j, 0)
+	}
+}
+
+// What is looked at grows with the machines, or with what waits, but not with
+// one times the other, and not at all for what concerns one job or machine.
+func TestWorkGrowsWithWhatChanged(t *testing.T) {
+	for _, machines := range []int{100, 400} {
+		t.Run(fmt.Sprint(machines), func(t *testing.T) {
+			w, n := fleetOf(t, machines)
+			seen := func(do func()) (hosts, jobs int64) {
+				before := n.Stats()
+				do()
+				after := n.Stats()
+				return after.HostsSeen - before.HostsSeen, after.JobsSeen - before.JobsSeen
+			}
+			hosts, jobs := seen(func() {
+				for range 100 {
+					n.Ask(coordination.UserCall{Kind: coordination.Poll, Job: "wk-000001"}, func(coordination.Reply) {})
+				}
+			})
+			if hosts > int64(2*machines) || jobs > int64(2*machines) {
+				t.Errorf("100 polls: %d machines and %d jobs looked at", hosts, jobs)
+			}
+			hosts, _ = seen(func() { w.Run(time.Second) })
+			if hosts > int64(15*machines) {
+				t.Errorf("a quiet second: %d machines looked at", hosts)
+			}
+			waiting(w, 10)
+			w.Run(2 * time.Second)
+			few, _ := seen(func() { w.Run(2 * time.Second) })
+			waiting(w, 100)
+			w.Run(2 * time.Second)
+			many, jobs := seen(func() { w.Run(2 * time.Second) })
+			if many > 3*few+int64(30*machines) {
+				t.Errorf("two seconds with 440 tasks waiting: %d machines looked at; with 40: %d", many, few)
+			}
+			if jobs > 100*int64(110+machines/50) {
+				t.Errorf("two seconds with 110 jobs waiting: %d jobs looked at", jobs)
+			}
+			check(t, w)
+		})
+	}
+}
+
+// BenchmarkStep times the leader's decisions at several sizes. Where time has to
+// pass, the stand-ins of everything outside are in the figure too.
+func BenchmarkStep(b *testing.B) {
+	for _, machines := range []int{100, 400, 1600} {
+		_, n := fleetOf(b, machines)
+		run := func(name string, command func(i int) any) {
+			b.Run(fmt.Sprintf("%s/%d", name, machines), func(b *testing.B) {
+				for i := range b.N {
+					n.Ask(command(i), func(coordination.Reply) {})
+				}
+			})
+		}
+		run("poll", func(int) any { return coordination.UserCall{Kind: coordination.Poll, Job: "wk-000001"} })
+		run("tick", func(int) any { return coordination.Tick{} })
+		seq := int64(0)
+		run("report", func(int) any {
+			seq++
+			return coordination.ReportCall{Report: &protocol.Report{Host: "x-000001", Type: "small", Zone: "a", Session: 1, Seq: seq}}
+		})
+		run("submission", func(int) any {
+			seq++
+			s := service(100_000+int(seq), 1)
+			s.Team = "red"
+			return coordination.UserCall{Kind: coordination.Submit, Job: s.ID, Submit: &s}
+		})
+		w, _ := fleetOf(b, machines)
+		waiting(w, 300)
+		w.Run(2 * time.Second)
+		b.Run(fmt.Sprintf("second with 1200 tasks waiting/%d", machines), func(b *testing.B) {
+			for range b.N {
+				w.Run(time.Second)
+			}
+		})
+		b.Run(fmt.Sprintf("take-over/%d", machines), func(b *testing.B) {
+			for range b.N {
+				old := w.Leader()
+				old.Crash()
+				if !w.Until(60*time.Second, func() bool { return w.Leader() != nil }) {
+					b.Fatal("nobody leads")
+				}
+				old.Start()
+			}
+		})
+	}
+}
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -935,3 +935,28 @@
 	w.Run(60 * time.Second)
 	check(t, w)
 }
+
+// Hundreds of tasks find no place at once, as after a zone is lost: the requests
+// for machines go out together, not one after the other's answer.
+func TestManyMachinesAreRentedTogether(t *testing.T) {
+	w := world(t)
+	w.Run(2 * time.Second)
+	w.Cloud.Most = 300
+	for i := range 10 {
+		s := service(i+1, 20)
+		s.CPUs, s.Types, s.Team = 4, []string{"small"}, "blue"
+		w.Submit(s, 0)
+	}
+	w.Network = func(kind, _, _ string) fake.Fate {
+		f := fake.Well()
+		if kind == "cloud" {
+			f.Answer = 900 * time.Millisecond
+		}
+		return f
+	}
+	w.Run(2500 * time.Millisecond)
+	if n := w.Nodes[0].Stats().Rented; n < 120 {
+		t.Errorf("%d machines rented 2.5 s after 200 tasks came", n)
+	}
+	check(t, w)
+}
--- a/internal/protocol/words.go
+++ b/internal/protocol/words.go
@@ -123,6 +123,12 @@
 // MaxListed is the most machines of one answer.
 const MaxListed = 500
 
+// The most machines of one rental and of one return.
+const (
+	MaxRented   = 50
+	MaxReturned = 100
+)
+
 // NoCapacity tells a refusal for want of machines from the cloud's troubles.
 func NoCapacity(body []byte) bool {
 	var a struct {
