--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -72,7 +72,7 @@
 		f.budget = rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))
 		f.calls = map[uint64]cloudCall{}
 	}
-	if now < f.back || !f.budget.AllowN(time.Unix(1, 0).Add(now), 1) {
+	if now < f.back || len(f.calls) >= config.CloudCalls || !f.budget.AllowN(time.Unix(1, 0).Add(now), 1) {
 		return false
 	}
 	c.ID = e.n.id()
@@ -232,6 +232,7 @@
 func (e *engine) rented(r *rental, c CloudResult) {
 	f, now := &e.fleet, e.n.now.Mono
 	r.calling = false
+	f.planAt = 0 // the next may be waiting for this one's connection
 	switch c.Outcome {
 	case OK:
 		r.Answered, r.Hosts = true, c.Hosts
@@ -432,15 +433,16 @@
 		}
 		counts[b.offer]++
 	}
-	for _, o := range offers {
-		// What is asked for is in the next plan already, so several requests for one
-		// offer are no more machines, only sooner.
-		for left := counts[o]; left > 0; {
-			asked := e.rent(o, min(left, protocol.MaxRented))
-			if asked == 0 {
-				break
+	// What is asked for is in the next plan already, so several requests for one
+	// offer are no more machines, only sooner. Each offer has its turn.
+	for more := true; more; {
+		more = false
+		for _, o := range offers {
+			if counts[o] > 0 {
+				asked := e.rent(o, min(counts[o], protocol.MaxRented))
+				counts[o] -= asked
+				more = more || asked > 0
 			}
-			left -= asked
 		}
 	}
 	if !slices.ContainsFunc(offers, func(o offer) bool { return !o.spot }) {
