A start without an answer: the story now fails without its guard; the front fits its memory

The guard (a start of our own without an answer counts as possibly present) was caught by no test: the report had to fall between a command that was given up and the next try. The story now submits at forty moments between two reports. The front's share of connections is also bounded by half of mem_mb.

--- a/internal/config/budget.go
+++ b/internal/config/budget.go
@@ -12,6 +12,11 @@
 	perPeer    = 4 // both ways, while one replaces another
 	spare      = 8 // listeners, the runtime's own, and operators' tools
 	atLeast    = 16
+
+	// connectionMemory is what a connection of the front takes at most: two buffers
+	// of 4 KiB, its goroutine and a request in progress. All of them together may
+	// take half of the process's memory.
+	connectionMemory = 24 << 10
 )
 
 // Sockets is how max_connections is shared out.
@@ -24,7 +29,7 @@
 // Sockets shares out the sockets. Workers' own connections, users and health
 // checks have their place first.
 func (s *Settings) Sockets() Sockets {
-	shared := s.Limits.MaxConnections - s.ownSockets()
+	shared := min(s.Limits.MaxConnections-s.ownSockets(), int(s.Limits.MemMB/2*(1<<20)/connectionMemory))
 	commands := max(1, shared/16)
 	return Sockets{Front: shared - commands, Commands: commands, shared: shared}
 }
--- a/internal/config/budget_test.go
+++ b/internal/config/budget_test.go
@@ -5,10 +5,13 @@
 // At 1.5 times the largest fleet seen there is less than two connections a
 // machine: the front has its place first, and commands share what it leaves.
 func TestSocketsAreSharedOut(t *testing.T) {
-	for _, x := range []struct{ most, size, workers, users int }{
-		{2590, 3, 1840, 200}, {2356, 5, 1101, 300}, {700, 3, 64, 100}, {900, 3, 440, 100}, {64, 3, 8, 4},
+	for _, x := range []struct {
+		most, size, workers, users int
+		mem                        float64
+	}{
+		{2590, 3, 1840, 200, 271}, {2356, 5, 1101, 300, 322}, {700, 3, 64, 100, 98}, {900, 3, 440, 100, 98}, {64, 3, 8, 4, 32},
 	} {
-		s := Settings{Size: x.size, Limits: Limits{MaxConnections: x.most}}
+		s := Settings{Size: x.size, Limits: Limits{MaxConnections: x.most, MemMB: x.mem}}
 		if p := s.budgets(); len(p) > 0 {
 			t.Fatal(p)
 		}
@@ -22,7 +25,11 @@
 			}
 		}
 	}
-	s := Settings{Size: 5, Limits: Limits{MaxConnections: 48}}
+	s := Settings{Size: 3, Limits: Limits{MaxConnections: 100_000, MemMB: 64}}
+	if k := s.Sockets(); k.Front*connectionMemory > 32<<20 {
+		t.Errorf("%d connections of the front in 64 MB", k.Front)
+	}
+	s = Settings{Size: 5, Limits: Limits{MaxConnections: 48, MemMB: 64}}
 	if len(s.budgets()) == 0 {
 		t.Error("five controllers can't do with 48 sockets")
 	}
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -105,12 +105,16 @@
 
 // A start gets no answer, and further commands don't arrive either. Reports do,
 // and don't name the task: it must not run elsewhere until the start is void,
-// which a raised token makes it; it may arrive just before, or much later.
+// which a raised token makes it; it may arrive just before, or much later. The
+// job comes at any time between two reports, so that one falls between the
+// commands that are given up and the next try.
 func TestStartWithoutAnswerIsVoidedFirst(t *testing.T) {
-	for _, late := range []time.Duration{2500, 2900, 3300, 30_000} {
-		t.Run((late * time.Millisecond).String(), func(t *testing.T) {
+	for at := range 40 {
+		late := []time.Duration{2500, 2900, 3300, 30_000}[at%4]
+		t.Run(fmt.Sprint(late*time.Millisecond, " ", at), func(t *testing.T) {
 			w := world(t)
 			spare(t, w)
+			w.Run(time.Duration(at) * 50 * time.Millisecond)
 			host := ""
 			w.Network = func(kind, _, to string) fake.Fate {
 				f := fake.Well()
