--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -57,9 +57,7 @@
 }
 
 // queue sorts the jobs that wait: by priority, then those within their team's
-// guarantee, then by age. Jobs that came at nearly the same time, or have long
-// been known and lost their tasks, stand together by image, so that a machine
-// fetches one for all that it takes.
+// guarantee, then by age.
 func (e *engine) queue() []*job {
 	sum := map[*team]need{}
 	var out []*job
@@ -78,21 +76,11 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(order(b), order(a)), cmp.Compare(e.cohort(a), e.cohort(b)), cmp.Compare(a.Image, b.Image),
-			cmp.Compare(a.SubmittedMs, b.SubmittedMs))
+		return cmp.Or(cmp.Compare(order(b), order(a)), cmp.Compare(a.SubmittedMs, b.SubmittedMs))
 	})
 	return out
 }
 
-// cohort numbers the times of submission: two reports make one, and all that is
-// older than two leases makes the first.
-func (e *engine) cohort(j *job) int64 {
-	if e.n.now.WallMs-j.SubmittedMs > (2 * e.rules.lease).Milliseconds() {
-		return 0
-	}
-	return j.SubmittedMs / (2 * e.rules.report).Milliseconds()
-}
-
 func order(j *job) int {
 	n := 2 * int(j.Priority)
 	if j.within {
