Revert: among equals by age again, whether GPUs are needed or not

From the log of every placement: minwon's tasks are placed within 3 s of their machines' first reports, at 51 s to 66 s, and fetch for 10 s to 25 s. That, and not their place in the queue, is the first minute.

--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -57,9 +57,7 @@
 }
 
 // queue sorts the jobs that wait: by priority, then those within their team's
-// guarantee, then those whose tasks need GPUs, then by age. What needs no GPU has
-// more machines to choose from, and would fill the first of those that the others
-// wait for.
+// guarantee, then by age.
 func (e *engine) queue() []*job {
 	sum := map[*team]need{}
 	var out []*job
@@ -78,18 +76,11 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(order(b), order(a)), cmp.Compare(needsGPU(b), needsGPU(a)), cmp.Compare(a.SubmittedMs, b.SubmittedMs))
+		return cmp.Or(cmp.Compare(order(b), order(a)), cmp.Compare(a.SubmittedMs, b.SubmittedMs))
 	})
 	return out
 }
 
-func needsGPU(j *job) int {
-	if j.need.gpus > 0 {
-		return 1
-	}
-	return 0
-}
-
 func order(j *job) int {
 	n := 2 * int(j.Priority)
 	if j.within {
