--- a/internal/coordination/consolidate.go
+++ b/internal/coordination/consolidate.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"oakpick/internal/config"
 	"oakpick/internal/protocol"
 )
 
@@ -25,7 +24,11 @@
 			return
 		}
 	}
-	if e.opt.MovesPerMin == 0 || now-e.ledAt < config.Seconds(e.opt.IdleS) {
+	settled := e.ledAt // a new leader first sees what is really idle
+	for i := range f.types {
+		settled = max(settled, e.ledAt+e.keepIdle(&f.types[i]))
+	}
+	if e.opt.MovesPerMin == 0 || now < settled {
 		return
 	}
 	alive, draining := 0, 0
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -580,6 +580,16 @@
 	return r.Count
 }
 
+// keepIdle is how long an empty machine is kept: unless operators say otherwise,
+// as long as another would take to boot, which is when keeping it has cost as much
+// as that.
+func (e *engine) keepIdle(mt *protocol.MachineType) time.Duration {
+	if e.opt.IdleS > 0 || mt == nil {
+		return config.Seconds(e.opt.IdleS)
+	}
+	return config.Seconds(mt.BootS)
+}
+
 // giveBack returns machines that are empty, have failed or never came up.
 func (e *engine) giveBack(needed map[*host]bool) {
 	now := e.n.now.Mono
@@ -609,7 +619,7 @@
 		case h.up && len(h.tasks) == 0 && len(h.others) == 0 && h.draining:
 			why = "it was emptied"
 		case h.up && len(h.tasks) == 0 && len(h.others) == 0 && !needed[h] && h.noticeAt == 0 &&
-			now-h.emptySince > config.Seconds(e.opt.IdleS) && now-e.ledAt > config.Seconds(e.opt.IdleS):
+			now-max(h.emptySince, e.ledAt) > e.keepIdle(mt):
 			why = "it is idle"
 		}
 		if why == "" {
