--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -179,6 +180,7 @@
 
 	flights   map[uint64]*bookkeeping.Flight // by the call that carries them, or asks about them
 	drain     bool                           // no new writes: the token is to be raised
+	asking    map[uint64]bool                // users' requests that wait for a commit
 	raising   *protocol.Txn
 	raiseSent bool
 	raiseNext time.Duration
@@ -201,7 +203,7 @@
 	e := &engine{
 		n: n, rules: n.rules, opt: DefaultOptions(n.cfg), token: n.term.own, firstT: n.term.own, ledAt: n.now.Mono,
 		jobs: map[string]*job{}, finals: map[string]*final{}, teams: map[string]*team{}, hosts: map[string]*host{},
-		gone: map[string]time.Duration{}, flights: map[uint64]*bookkeeping.Flight{}, schedule: true, classes: map[string]*class{}, within: map[string]float64{},
+		gone: map[string]time.Duration{}, flights: map[uint64]*bookkeeping.Flight{}, asking: map[uint64]bool{}, schedule: true, classes: map[string]*class{}, within: map[string]float64{},
 	}
 	for _, o := range s.Objectives {
 		if o.Kind == "wait" {
@@ -440,12 +442,14 @@
 }
 
 func (e *engine) reply(id uint64, status int, body []byte) {
+	delete(e.asking, id)
 	e.n.emit(Reply{ID: id, Status: status, Body: body})
 }
 
 func (e *engine) answerJob(id uint64, status int, j *job, counts bool) {
 	if j.Cancelled && j.cancelKnown && !e.mayTell(j) {
 		// Another leader may have told it already: nothing else may be said either.
+		delete(e.asking, id)
 		e.n.refuse(id, "its tasks can't be stopped yet")
 		return
 	}
@@ -495,9 +499,14 @@
 			e.answerJob(c.ID, 200, j, false)
 			return
 		}
+		e.asking[c.ID] = true
 		e.book.Touch(e.n.now.Mono, j.blocks[0], bookkeeping.NewWait(func() { e.answerJob(c.ID, 200, j, false) }))
 		return
 	}
+	if e.behind() {
+		e.n.refuse(c.ID, "too much to be written")
+		return
+	}
 	if len(e.fleet.types) == 0 {
 		e.n.refuse(c.ID, "machine types not known yet")
 		return
@@ -510,12 +519,29 @@
 	j := e.newJob(bookkeeping.NewJobRecord(s, e.n.now.WallMs))
 	e.arrived(j)
 	e.schedule = true
+	e.asking[c.ID] = true
 	e.book.Touch(e.n.now.Mono, j.blocks[0], bookkeeping.NewWait(func() {
 		j.committed = true
 		e.answerJob(c.ID, 201, j, false)
 	}))
 }
 
+// behind tells whether a new record could not be committed while its user waits.
+func (e *engine) behind() bool {
+	pages, _ := e.book.Backlog(e.n.now.Mono)
+	return float64(pages) > e.n.cfg.Settings.State.WriteRPS*e.opt.WriteShare*protocol.SubmitWaitS/2
+}
+
+// refuseAsking answers at once whoever waits for a commit that isn't to be
+// expected: what was asked may be durable all the same, and is found so when the
+// user comes back.
+func (e *engine) refuseAsking() {
+	for _, id := range slices.Sorted(maps.Keys(e.asking)) {
+		e.n.refuse(id, "the state service does not answer")
+	}
+	clear(e.asking)
+}
+
 // impossible says why a job can never run, or nothing.
 func (e *engine) impossible(s *protocol.Submission) string {
 	t := e.teams[s.Team]
@@ -584,6 +610,7 @@
 		e.n.Stats.Cancelled++
 		j.Cancelled, j.cancelledAt = true, e.n.now.Mono
 	}
+	e.asking[c.ID] = true
 	// Durable first, then answered, and only then are its tasks stopped: a
 	// cancellation that was never told must not have cost the job its tasks.
 	e.book.Touch(e.n.now.Mono, j.blocks[0], bookkeeping.NewWait(func() {
@@ -1010,6 +1037,9 @@
 		e.fleetTick()
 	}
 	if e.n.engine == e {
+		if len(e.asking) > 0 && !e.n.certain() {
+			e.refuseAsking()
+		}
 		e.flush()
 		e.sendOrders()
 	}
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -965,3 +965,76 @@
 	}
 	check(t, w)
 }
+
+// A submission that can't be made durable is refused when that is known, not
+// when its user has waited long enough; one that can be, however slowly, waits.
+func TestSubmissionIsRefusedAtOnceOrWaitsForItsCommit(t *testing.T) {
+	type answer struct {
+		status int
+		after  time.Duration
+	}
+	ask := func(w *fake.World, id int) *answer {
+		s, a, since := service(id, 3), &answer{}, w.Now
+		w.Nodes[0].Ask(coordination.UserCall{Kind: coordination.Submit, Job: s.ID, Submit: &s}, func(r coordination.Reply) {
+			*a = answer{r.Status, w.Now - since}
+		})
+		return a
+	}
+	t.Run("outage", func(t *testing.T) {
+		w := world(t)
+		w.Run(5 * time.Second)
+		w.State.Outage(true)
+		first := ask(w, 1)
+		w.Run(1500 * time.Millisecond) // the term's lease is a second
+		if first.status != 503 || first.after > 1200*time.Millisecond {
+			t.Errorf("when the outage began: %d after %v", first.status, first.after)
+		}
+		if next := ask(w, 2); next.status != 503 {
+			t.Errorf("in the outage: %d", next.status)
+		}
+		w.State.Outage(false)
+		w.Run(5 * time.Second)
+		if again := ask(w, 1); again.status != 200 {
+			t.Errorf("the first, asked again: %d", again.status)
+		}
+	})
+	t.Run("long queue", func(t *testing.T) {
+		w := world(t)
+		w.Run(5 * time.Second)
+		var all []*answer
+		for i := range 400 {
+			all = append(all, ask(w, i+1))
+		}
+		refused := 0
+		for _, a := range all {
+			if a.status == 503 {
+				refused++
+			}
+		}
+		w.Run(4 * time.Second)
+		for i, a := range all {
+			if a.status != 503 && a.status != 201 || a.after > protocol.SubmitWaitS*time.Second*3/4 {
+				t.Fatalf("number %d: %d after %v", i, a.status, a.after)
+			}
+		}
+		if refused == 0 || refused > 300 {
+			t.Errorf("%d of 400 refused at once", refused)
+		}
+	})
+	t.Run("slow", func(t *testing.T) {
+		w := world(t)
+		w.Run(5 * time.Second)
+		w.Network = func(kind, _, _ string) fake.Fate {
+			f := fake.Well()
+			if kind == "state" {
+				f.Answer = 300 * time.Millisecond
+			}
+			return f
+		}
+		a := ask(w, 1)
+		w.Run(2 * time.Second)
+		if a.status != 201 || a.after < 300*time.Millisecond {
+			t.Errorf("%d after %v", a.status, a.after)
+		}
+	})
+}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -54,7 +54,7 @@
 	f := &Front{owner: owner, limit: limit}
 	f.server = &fasthttp.Server{
 		Handler: f.handle, Concurrency: connections, MaxRequestBodySize: protocol.MaxBody,
-		ReadTimeout: 0, IdleTimeout: idle, WriteTimeout: idle,
+		ReadTimeout: idle, IdleTimeout: idle, WriteTimeout: idle,
 		ReadBufferSize: 4096, WriteBufferSize: 4096, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
 		Logger: quiet{},
