--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -32,14 +32,21 @@
 // drift is more than twice what the steady clocks of two machines may differ by.
 const drift = 0.0011
 
+// TermLease is how long the term's lease lasts: while it runs out after a leader
+// has ended, nobody can be served.
+func TermLease(w config.Workers) time.Duration {
+	return config.Seconds(min(w.Lease/10, w.Report*0.4))
+}
+
 // NewRules derives the times from the settings.
 func NewRules(cfg *config.Config) Rules {
 	w := cfg.Settings.Workers
 	sec := config.Seconds
 	lease := sec(w.Lease * (1 + drift))
+	ttl := TermLease(w)
 	r := Rules{
-		ttl:    sec(w.Lease / 10),
-		renew:  sec(w.Lease / 50),
+		ttl:    ttl,
+		renew:  ttl / 5,
 		poll:   sec(w.Lease / 60),
 		lease:  lease + sec(w.Report/20),
 		report: sec(w.Report),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -80,13 +80,12 @@
 	parent := ctx
 	group, ctx := errgroup.WithContext(parent)
 	report := config.Seconds(s.Workers.Report)
-	ttl := config.Seconds(s.Workers.Lease / 5)
 	d := &daemon{
 		cfg: cfg, log: log, began: time.Now(), group: group, ctx: ctx,
 		node:    coordination.New(cfg, hex.EncodeToString(seed[:8]), binary.LittleEndian.Uint64(seed[8:])),
 		metrics: newMetrics(),
 		queue:   make(chan item, 4*batch), waits: map[uint64]waiter{},
-		state: bookkeeping.NewClient(cfg.Services.State, report/2, ttl/4),
+		state: bookkeeping.NewClient(cfg.Services.State, report/2, coordination.TermLease(s.Workers)/2),
 		cloud: transport.NewCloud(cfg.Services.Cloud, s.Workers),
 		peers: transport.NewPeers(cfg.Node, cfg.Peers, s.Workers),
 	}
