--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -57,7 +57,7 @@
 }
 
 // queue sorts the jobs that wait: by priority, then those within their team's
-// guarantee, then by age or deadline.
+// guarantee, then by age.
 func (e *engine) queue() []*job {
 	sum := map[*team]need{}
 	var out []*job
@@ -76,27 +76,11 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(order(b), order(a)), cmp.Compare(e.turn(a), e.turn(b)), cmp.Compare(a.SubmittedMs, b.SubmittedMs))
+		return cmp.Or(cmp.Compare(order(b), order(a)), cmp.Compare(a.SubmittedMs, b.SubmittedMs))
 	})
 	return out
 }
 
-// turn is a job's place among its equals: when it came or, if it has a deadline,
-// when it has to begin at the latest by its owner's estimate. One that is late
-// even so makes way for those that can be in time, until it is overdue by as much
-// again.
-func (e *engine) turn(j *job) int64 {
-	if j.Deadline <= 0 {
-		return j.SubmittedMs
-	}
-	ms := func(s float64) int64 { return int64(s * 1000) }
-	latest := j.SubmittedMs + ms(max(0, j.Deadline-j.Estimate))
-	if late := e.n.now.WallMs - latest; late > 0 && late < ms(j.Deadline) {
-		return math.MaxInt64/2 + latest
-	}
-	return latest
-}
-
 func order(j *job) int {
 	n := 2 * int(j.Priority)
 	if j.within {
