--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -252,7 +252,7 @@
 			if c < againCost {
 				again, againCost = h, c
 			}
-		case c < bestCost:
+		case c < bestCost || c == bestCost && h.name < best.name: // equals fill up one after the other, not side by side
 			best, bestCost = h, c
 			looked++
 		default:
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -237,9 +237,10 @@
 	}
 }
 
-// The leader keeps nothing but one worker. It goes on answering that one for
-// its hold; the successor, which hears nothing of either, waits that long.
-func TestLeaderWithOnlyItsWorkersLeft(t *testing.T) {
+// onlyItsWorker makes a world in which the leader, n0, reaches nothing any more but
+// the worker that runs a job's replica, which nobody else reaches.
+func onlyItsWorker(t *testing.T) (*fake.World, *fake.Job) {
+	t.Helper()
 	w := world(t)
 	spare(t, w)
 	j := w.Submit(service(1, 1), 0)
@@ -251,6 +252,13 @@
 		f.LoseRequest = alone(from) != alone(to)
 		return f
 	}
+	return w, j
+}
+
+// The leader keeps nothing but one worker. It goes on answering that one for
+// its hold; the successor, which hears nothing of either, waits that long.
+func TestLeaderWithOnlyItsWorkersLeft(t *testing.T) {
+	w, j := onlyItsWorker(t)
 	w.Run(80 * time.Second)
 	check(t, w)
 	if w.Leader() == nil || w.Leader().Name == "n0" {
@@ -919,17 +927,7 @@
 // worker. The user may hear of it only once the predecessor's hold and the
 // worker's lease will have ended the task in time, and is then told.
 func TestCancellationIsToldOnceItCanBeKept(t *testing.T) {
-	w := world(t)
-	spare(t, w)
-	j := w.Submit(service(1, 1), 0)
-	runs(t, w, j.Sub.ID, 1)
-	host := w.On(j.Sub.ID)[0]
-	w.Network = func(_, from, to string) fake.Fate {
-		f := fake.Well()
-		alone := func(x string) bool { return x == "n0" || x == host }
-		f.LoseRequest = alone(from) != alone(to)
-		return f
-	}
+	w, j := onlyItsWorker(t)
 	if !w.Until(10*time.Second, func() bool { return w.Nodes[1].Leads() || w.Nodes[2].Leads() }) {
 		t.Fatal("nobody took over")
 	}
