--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -188,10 +188,17 @@
 // only those already under way are sent again.
 func (b *Book) Next(now time.Duration, term protocol.Condition, more bool) *Flight {
 	for _, f := range b.flights {
-		if !f.sent && now >= f.again && b.budget.AllowN(at(now), len(f.pages)) {
-			f.sent = true
-			return f
+		if f.sent || now < f.again {
+			continue
 		}
+		// Newer writes must not take the budget that this one waits for: small ones
+		// would leave a large one waiting for ever, and its pages' facts with it.
+		// Nor may a budget that was lowered meanwhile be less than it can ever have.
+		if !b.budget.AllowN(at(now), min(len(f.pages), b.budget.Burst())) {
+			return nil
+		}
+		f.sent = true
+		return f
 	}
 	if !more || len(b.flights) >= Flights {
 		return nil
--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -171,3 +171,38 @@
 		}
 	})
 }
+
+// A large write gets no answer while small ones keep coming, so many that they
+// could use up the whole budget: its turn comes all the same. So it does when the
+// budget has been lowered below its size since.
+func TestLargeRetryIsNotStarvedBySmallWrites(t *testing.T) {
+	for _, lowered := range []bool{false, true} {
+		b := NewBook(1, 8, 10, "t", 100*time.Millisecond)
+		for i := range 8 {
+			b.Touch(0, &thing{fmt.Sprint("large", i), 800}, nil)
+		}
+		large := b.Next(0, term, true)
+		if large == nil || len(large.Txn.Then) != 8 {
+			t.Fatalf("got %+v", large)
+		}
+		b.Again(0, large)
+		if lowered {
+			b.SetBudget(4)
+		}
+		sentAt, small := time.Duration(0), 0
+		for now := time.Duration(0); now < 10*time.Second && sentAt == 0; now += 20 * time.Millisecond {
+			b.Touch(now, &thing{fmt.Sprint("small", now), 800}, nil)
+			switch f := b.Next(now, term, true); f {
+			case nil:
+			case large:
+				sentAt = now
+			default:
+				small++
+				b.Landed(f, int64(now))
+			}
+		}
+		if sentAt == 0 || sentAt > 2500*time.Millisecond {
+			t.Errorf("lowered %t: sent again after %v, %d small writes before it", lowered, sentAt, small)
+		}
+	}
+}
