--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -78,10 +78,23 @@
 	retry   time.Duration
 }
 
+// What a transaction may take in JSON: as much as any request. Around the pages'
+// values go the term's condition, and for each page a condition and a change with
+// its key.
+const (
+	txnSize  = 256
+	eachSize = 192
+)
+
+// PageBytes is what a page may take: one value, as long as that fits a transaction.
+func PageBytes(valueKB float64) int {
+	return min(int(valueKB*1024), protocol.MaxBody-txnSize-eachSize)
+}
+
 // NewBook makes an empty one. Writes are named by prefix and a counter.
 func NewBook(valueKB float64, ops int, putsPerS float64, prefix string, retry time.Duration) *Book {
 	return &Book{
-		limit: int(valueKB * 1024), ops: ops, where: map[Item]*page{}, prefix: prefix, retry: retry,
+		limit: PageBytes(valueKB), ops: ops, where: map[Item]*page{}, prefix: prefix, retry: retry,
 		budget: rate.NewLimiter(rate.Limit(putsPerS), max(1, int(putsPerS))),
 	}
 }
@@ -204,10 +217,12 @@
 		return nil
 	}
 	var pages []*page
-	most := min(b.ops, max(1, int(b.budget.TokensAt(at(now)))))
+	most, left := min(b.ops, max(1, int(b.budget.TokensAt(at(now))))), protocol.MaxBody-txnSize
 	for _, p := range b.dirty {
-		if !p.flying && len(pages) < most {
-			pages = append(pages, p)
+		// Their sum counts too: a transaction that is too large is refused each time
+		// it is sent again, and its pages would never be written.
+		if need := p.reserved + eachSize; !p.flying && len(pages) < most && (need <= left || len(pages) == 0) {
+			pages, left = append(pages, p), left-need
 		}
 	}
 	if len(pages) == 0 || !b.budget.AllowN(at(now), len(pages)) {
--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -206,3 +206,37 @@
 		}
 	}
 }
+
+// Many large pages wait, and a transaction may change more of them than fit its
+// size: each goes out in one that the state service takes. A value alone is
+// bounded by that size too.
+func TestTransactionsStayWithinTheirSize(t *testing.T) {
+	for _, valueKB := range []float64{8, 31, 64, 128} {
+		b := NewBook(valueKB, 32, 100, "t", 100*time.Millisecond)
+		whole := &thing{"", PageBytes(valueKB) - pageSize}
+		if big := (&thing{"", PageBytes(valueKB)}); !b.Fits(whole) || b.Fits(big) {
+			t.Fatalf("%v KiB: a page's worth fits %t, more %t", valueKB, b.Fits(whole), b.Fits(big))
+		}
+		const things = 40
+		landed := 0
+		for i := range things {
+			name := strings.Repeat("x", whole.size-100) + fmt.Sprint(i)
+			b.Touch(0, &thing{name, whole.size}, NewWait(func() { landed++ }))
+		}
+		most := 0
+		for i := range 20 * things {
+			now := time.Duration(i) * 50 * time.Millisecond
+			for f := b.Next(now, term, true); f != nil; f = b.Next(now, term, true) {
+				text, err := json.Marshal(f.Txn)
+				if err != nil || len(text) > protocol.MaxBody {
+					t.Fatalf("%v KiB: a transaction of %d bytes, %v", valueKB, len(text), err)
+				}
+				most = max(most, len(f.Txn.Then))
+				b.Landed(f, int64(i+1))
+			}
+		}
+		if landed != things || valueKB == 8 && most != 7 {
+			t.Errorf("%v KiB: %d of %d pages written, at most %d at once", valueKB, landed, things, most)
+		}
+	}
+}
--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -215,7 +215,7 @@
 	}
 	e.book = bookkeeping.NewBook(s.State.ValueKB, s.State.TxnOps, s.State.WriteRPS*e.opt.WriteShare,
 		fmt.Sprintf("%d", e.token), n.rules.retry)
-	e.rules.blockSize = bookkeeping.BlockTasks(int(s.State.ValueKB * 1024))
+	e.rules.blockSize = bookkeeping.BlockTasks(bookkeeping.PageBytes(s.State.ValueKB))
 	type read struct {
 		number  int
 		version int64
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -139,6 +139,11 @@
 	if len(c.Txn.Then) > s.limits.TxnOps || len(c.Txn.If) > 4*s.limits.TxnOps {
 		s.w.fail("state", "a transaction of %d changes and %d conditions", len(c.Txn.Then), len(c.Txn.If))
 	}
+	if text, err := json.Marshal(c.Txn); err != nil || len(text) > protocol.MaxBody {
+		s.w.fail("state", "a transaction of %d bytes", len(text))
+		r.Outcome = bookkeeping.Lost // an answer that the protocol doesn't list
+		return r
+	}
 	// The write rate counts puts, with a burst of one second's worth.
 	s.puts = slices.DeleteFunc(s.puts, func(at time.Duration) bool { return s.w.Now-at >= time.Second })
 	if len(s.puts)+len(c.Txn.Then) > int(2*s.limits.WriteRPS) {
