--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -162,6 +162,9 @@
 func (k *Worker) sendReport() {
 	w := k.w
 	r, sent, session := k.report(), w.Now, k.session
+	if w.Overheard != nil {
+		w.Overheard(*r)
+	}
 	k.inFlight = true
 	k.flight++
 	flight := k.flight
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -37,6 +37,8 @@
 	Cancelled bool // and was told that it is
 	Told      string
 	toldAt    time.Duration
+	// AnsweredAt is when a question about it was last answered with 200.
+	AnsweredAt time.Duration
 }
 
 // Node is a controller and its process.
@@ -91,6 +93,9 @@
 	Broken []string
 	// Log has the nodes' lines.
 	Log []string
+	// Overheard is told of every report that a worker sends, so that a test can
+	// keep copies and hand them in later.
+	Overheard func(r protocol.Report)
 
 	workerNames []string
 	jobNames    []string
@@ -221,6 +226,9 @@
 // Leads tells whether the node believes that it leads.
 func (n *Node) Leads() bool { return n.Up && n.node.Role() == "leader" }
 
+// Holds tells whether the node leads, or is in doubt and still answers workers.
+func (n *Node) Holds() bool { return n.Up && n.node.Leads() }
+
 // Healthy is what the node tells the load balancer.
 func (n *Node) Healthy() bool { return n.Up && n.node.Healthy() }
 
@@ -352,6 +360,11 @@
 		n.call("cloud", "cloud", report, func() (any, bool) { return w.Cloud.execute(e), true },
 			coordination.CloudResult{ID: e.ID, Outcome: coordination.Lost})
 	case coordination.OrdersCall:
+		for _, c := range e.Commands {
+			if j := w.Jobs[c.Attempt.Job]; c.Verb == protocol.Start && j != nil && j.Cancelled {
+				w.fail("started_cancelled", "%s sends a start of %s, which its user was told is cancelled", n.Name, c.Attempt.Job)
+			}
+		}
 		n.call("orders", e.Host, report*3/4, func() (any, bool) {
 			k := w.Workers[e.Host]
 			if k == nil || k.gone {
@@ -428,7 +441,10 @@
 // ask sends a user's request to some node.
 func (w *World) ask(c coordination.UserCall, done func(coordination.Reply, bool)) {
 	w.seq++
-	n := w.Nodes[w.seq%len(w.Nodes)]
+	w.askAt(w.Nodes[w.seq%len(w.Nodes)], c, done)
+}
+
+func (w *World) askAt(n *Node, c coordination.UserCall, done func(coordination.Reply, bool)) {
 	over := false
 	w.After(5*time.Second, func() {
 		if !over {
@@ -444,22 +460,61 @@
 	})
 }
 
-// PollAll asks about every job.
+// PollAll asks about every job, and about one that nobody has submitted.
 func (w *World) PollAll() {
 	for _, id := range w.jobNames {
-		j := w.Jobs[id]
-		was, asked := j.Accepted, w.Now
-		w.ask(coordination.UserCall{Kind: coordination.Poll, Job: id}, func(r coordination.Reply, ok bool) {
-			if ok && r.Status == 404 && was {
-				w.fail("forgotten", "%s", id)
-			}
-			if ok && r.Status == 200 {
+		w.seq++
+		w.poll(w.Nodes[w.seq%len(w.Nodes)], w.Jobs[id])
+	}
+	w.ask(coordination.UserCall{Kind: coordination.Poll, Job: "wk-999999"}, func(r coordination.Reply, ok bool) {
+		if ok && r.Status == 200 {
+			w.fail("invented", "a job that nobody submitted")
+		}
+	})
+}
+
+func (w *World) poll(n *Node, j *Job) {
+	was, asked := j.Accepted, w.Now
+	w.askAt(n, coordination.UserCall{Kind: coordination.Poll, Job: j.Sub.ID}, func(r coordination.Reply, ok bool) {
+		if ok && r.Status == 404 && was {
+			w.fail("forgotten", "%s", j.Sub.ID)
+		}
+		if ok && r.Status == 200 {
+			w.told(j, r, asked)
+		}
+	})
+}
+
+// CloseLook asks about a job at every node at once, and hands it in again there
+// if it was accepted.
+func (w *World) CloseLook(j *Job) {
+	for _, n := range w.Nodes {
+		w.poll(n, j)
+		if !j.Accepted {
+			continue
+		}
+		s, asked := j.Sub, w.Now
+		w.askAt(n, coordination.UserCall{Kind: coordination.Submit, Job: s.ID, Submit: &s}, func(r coordination.Reply, ok bool) {
+			switch {
+			case ok && (r.Status == 400 || r.Status == 422):
+				w.fail("forgotten", "%s: a repeat got %d", s.ID, r.Status)
+			case ok && r.Status == 201:
+				w.fail("forgotten", "%s: a repeat was accepted as new", s.ID)
+			case ok && r.Status == 200:
 				w.told(j, r, asked)
 			}
 		})
 	}
 }
 
+// CancelEverywhere asks every node at once to cancel a job, and repeats that as
+// users do.
+func (w *World) CancelEverywhere(j *Job) {
+	for _, n := range w.Nodes {
+		w.cancelAt(n, j)
+	}
+}
+
 // told checks what a user hears against what was so and what was said before.
 func (w *World) told(j *Job, r coordination.Reply, asked time.Duration) {
 	var a protocol.JobAnswer
@@ -467,6 +522,7 @@
 		w.fail("answer", "%s: %v", j.Sub.ID, err)
 		return
 	}
+	j.AnsweredAt = w.Now
 	if asked < j.toldAt && a.Status != protocol.StatusDone && a.Status != protocol.StatusCancelled {
 		return // asked before the last answer was heard: the two may cross
 	}
@@ -490,9 +546,14 @@
 
 // CancelJob asks to cancel a job, again and again until that is answered.
 func (w *World) CancelJob(j *Job) {
+	w.seq++
+	w.cancelAt(w.Nodes[w.seq%len(w.Nodes)], j)
+}
+
+func (w *World) cancelAt(n *Node, j *Job) {
 	j.Cancel = true
 	asked := w.Now
-	w.ask(coordination.UserCall{Kind: coordination.Cancel, Job: j.Sub.ID}, func(r coordination.Reply, ok bool) {
+	w.askAt(n, coordination.UserCall{Kind: coordination.Cancel, Job: j.Sub.ID}, func(r coordination.Reply, ok bool) {
 		if ok && r.Status == 200 {
 			w.told(j, r, asked)
 			return
