--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -157,21 +157,25 @@
 		f := FinalRecord{ID: s.ID, Cancelled: true, Tasks: 100000}
 		v.Finals = append(v.Finals, f)
 		want += f.Reserve()
-		// As the state service counts it: what is on the wire, in JSON.
-		var wire any
-		if err := protocol.Decode(protocol.Encode(v), &wire); err != nil {
-			t.Fatal(err)
-		}
-		text, err := json.Marshal(wire)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if len(text) > want {
-			t.Fatalf("%d bytes reserved, %d taken", want, len(text))
+		if n := sizeInJSON(t, v); n > want {
+			t.Fatalf("%d bytes reserved, %d taken", want, n)
 		}
 	})
 }
 
+// sizeInJSON is as the state service counts it: what is on the wire, in JSON.
+func sizeInJSON(t interface{ Fatal(...any) }, v any) int {
+	var wire any
+	if err := protocol.Decode(protocol.Encode(v), &wire); err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(wire)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(text)
+}
+
 // A large write gets no answer while small ones keep coming, so many that they
 // could use up the whole budget: its turn comes all the same. So it does when the
 // budget has been lowered below its size since.
@@ -227,9 +231,8 @@
 		for i := range 20 * things {
 			now := time.Duration(i) * 50 * time.Millisecond
 			for f := b.Next(now, term, true); f != nil; f = b.Next(now, term, true) {
-				text, err := json.Marshal(f.Txn)
-				if err != nil || len(text) > protocol.MaxBody {
-					t.Fatalf("%v KiB: a transaction of %d bytes, %v", valueKB, len(text), err)
+				if n := sizeInJSON(t, f.Txn); n > protocol.MaxBody {
+					t.Fatalf("%v KiB: a transaction of %d bytes", valueKB, n)
 				}
 				most = max(most, len(f.Txn.Then))
 				b.Landed(f, int64(i+1))
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -341,13 +341,18 @@
 		}
 		h.wake = false
 		var starts []*task
-		if n.certain() {
-			for _, t := range h.tasks {
-				if t.committed && !t.inherited && !t.answered && !t.stopping && !t.job.Cancelled && t.session == h.session {
-					starts = append(starts, t)
-				}
+		for _, t := range h.tasks {
+			if t.committed && !t.inherited && !t.answered && !t.stopping && !t.job.Cancelled && t.session == h.session {
+				starts = append(starts, t)
 			}
 		}
+		if len(starts) > 0 && !n.certain() {
+			// The answer to the write came while the term was in doubt. What it lets
+			// start must not be lost for that: it goes out once the term is certain.
+			starts = nil
+			h.wake, h.queued = true, true
+			e.woken = append(e.woken, h)
+		}
 		cmds := e.commands(h, true)
 		for _, t := range starts {
 			cmds = append(cmds, protocol.Command{Verb: protocol.Start, Attempt: t.attempt()})
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -130,3 +130,17 @@
 		}
 	}
 }
+
+// Types are the machine types that it rents, for a test to change.
+func (c *Cloud) Types() []protocol.MachineType { return c.types }
+
+// Rented names the machines that are rented.
+func (c *Cloud) Rented() []string {
+	var out []string
+	for _, m := range c.machines {
+		if !m.gone {
+			out = append(out, m.Host)
+		}
+	}
+	return out
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -46,6 +46,19 @@
 	return &State{w: w, limits: limits, keys: map[string]entry{}, leases: map[int64]lease{}, Cut: map[string]bool{}}
 }
 
+// sizeInJSON is how limits count: what is on the wire, written as JSON.
+func sizeInJSON(v any) int {
+	var wire any
+	if err := protocol.Decode(protocol.Encode(v), &wire); err != nil {
+		panic(err)
+	}
+	text, err := json.Marshal(wire)
+	if err != nil {
+		panic(err)
+	}
+	return len(text)
+}
+
 func (s *State) expire() {
 	for id, l := range s.leases {
 		if s.w.Now >= l.ends {
@@ -139,8 +152,8 @@
 	if len(c.Txn.Then) > s.limits.TxnOps || len(c.Txn.If) > 4*s.limits.TxnOps {
 		s.w.fail("state", "a transaction of %d changes and %d conditions", len(c.Txn.Then), len(c.Txn.If))
 	}
-	if text, err := json.Marshal(c.Txn); err != nil || len(text) > protocol.MaxBody {
-		s.w.fail("state", "a transaction of %d bytes", len(text))
+	if n := sizeInJSON(c.Txn); n > protocol.MaxBody {
+		s.w.fail("state", "a transaction of %d bytes", n)
 		r.Outcome = bookkeeping.Lost // an answer that the protocol doesn't list
 		return r
 	}
@@ -164,8 +177,8 @@
 			r.Outcome = bookkeeping.Invalid
 			return r
 		}
-		if text, err := json.Marshal(ch.Value); err != nil || float64(len(text)) > s.limits.ValueKB*1024 {
-			s.w.fail("state", "a value of %d bytes", len(text))
+		if n := sizeInJSON(ch.Value); float64(n) > s.limits.ValueKB*1024 {
+			s.w.fail("state", "a value of %d bytes", n)
 		}
 	}
 	if len(c.Txn.Then) > 0 {
