Close looks hand jobs in again before they are accepted; old reports meet a machine that is away; another leader's write

The check that a report is of the newest session has no story that fails without it alone: tokens and sessions of starts hold there too.

--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"oakpick/internal/bookkeeping"
 	"oakpick/internal/config"
 	"oakpick/internal/coordination"
 	"oakpick/internal/fake"
@@ -47,6 +48,17 @@
 			}
 		},
 	}
+	slowly := func(w *fake.World) {
+		w.Network = func(kind, _, _ string) fake.Fate {
+			f := fake.Well()
+			if kind == "state" {
+				f.Request, f.Answer = 120*time.Millisecond, 30*time.Millisecond
+			}
+			return f
+		}
+	}
+	troubles["slow writes"] = func(w *fake.World, _ time.Duration) { slowly(w) }
+	troubles["slow writes, leader ends"] = func(w *fake.World, at time.Duration) { slowly(w); w.After(at/8, w.Nodes[0].Crash) }
 	for name, trouble := range troubles {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -374,8 +386,15 @@
 				after := w.Submit(service(2, 2), 0)
 				runs(t, w, after.Sub.ID, 2)
 				w.Run(3 * time.Second)
+				// The machine itself is away at first, so that only copies speak for it.
+				away, back := w.On(after.Sub.ID)[0], w.Now+6*time.Second
 				if died {
-					w.Cloud.Die(w.On(after.Sub.ID)[0])
+					w.Cloud.Die(away)
+				}
+				w.Network = func(_, a, b string) fake.Fate {
+					f := fake.Well()
+					f.LoseRequest = step%4 < 2 && w.Now < back && (a == away || b == away)
+					return f
 				}
 				w.Nodes[0].Crash()
 				copies := slices.Clone(kept)
@@ -469,3 +488,55 @@
 		}
 	}
 }
+
+// A write is refused for a condition, and the page holds neither what it was nor
+// our own write: another leads. Nobody is told that what was asked is durable.
+func TestWriteThatMetAnotherLeaders(t *testing.T) {
+	n := coordination.New(&config.Config{Node: "n0", Settings: fake.Settings()}, "boot", 1)
+	now := coordination.Now{}
+	var replies []coordination.Reply
+	refused := 0
+	var give func(commands ...any)
+	give = func(commands ...any) {
+		now.Mono += time.Millisecond
+		for _, effect := range n.Step(now, commands) {
+			switch c := effect.(type) {
+			case coordination.Reply:
+				replies = append(replies, c)
+			case coordination.CloudCall:
+				if c.Op == coordination.CloudTypes {
+					give(coordination.CloudResult{ID: c.ID, Types: fake.Types()})
+				}
+			case bookkeeping.StateCall:
+				r := bookkeeping.StateResult{ID: c.ID, Number: 7}
+				switch {
+				case c.Op == bookkeeping.StateGet && c.Key == coordination.LeaderKey:
+					r.Outcome = bookkeeping.NotFound
+				case c.Op == bookkeeping.StateGet:
+					r.Entry = protocol.Entry{Key: c.Key, Version: 9, Value: protocol.Encode(bookkeeping.PageValue{ID: "another-1"})}
+				case c.Op == bookkeeping.StateTxn && len(c.Txn.Then) > 0 && c.Txn.Then[0].Put != coordination.LeaderKey:
+					r.Outcome = bookkeeping.Conflict
+					refused++
+				}
+				give(r)
+			}
+		}
+	}
+	for range 4 {
+		now.Mono += 400 * time.Millisecond
+		give(coordination.Tick{})
+	}
+	if n.Role() != "leader" {
+		t.Fatalf("is %s", n.Role())
+	}
+	s := service(1, 1)
+	give(coordination.UserCall{ID: 1, Kind: coordination.Submit, Job: s.ID, Submit: &s})
+	if refused == 0 || n.Role() == "leader" {
+		t.Errorf("%d writes refused, and is %s", refused, n.Role())
+	}
+	for _, r := range replies {
+		if r.Status < 400 {
+			t.Errorf("told %d", r.Status)
+		}
+	}
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -37,7 +37,7 @@
 	Cancelled bool // and was told that it is
 	Told      string
 	toldAt    time.Duration
-	// AnsweredAt is when a question about it was last answered with 200.
+	// AnsweredAt is when a question about it was last answered with 200; 0: never.
 	AnsweredAt time.Duration
 }
 
@@ -474,7 +474,7 @@
 }
 
 func (w *World) poll(n *Node, j *Job) {
-	was, asked := j.Accepted, w.Now
+	was, asked := j.Accepted || j.AnsweredAt > 0, w.Now
 	w.askAt(n, coordination.UserCall{Kind: coordination.Poll, Job: j.Sub.ID}, func(r coordination.Reply, ok bool) {
 		if ok && r.Status == 404 && was {
 			w.fail("forgotten", "%s", j.Sub.ID)
@@ -485,22 +485,19 @@
 	})
 }
 
-// CloseLook asks about a job at every node at once, and hands it in again there
-// if it was accepted.
+// CloseLook asks about a job at every node at once, and hands it in again there.
 func (w *World) CloseLook(j *Job) {
 	for _, n := range w.Nodes {
 		w.poll(n, j)
-		if !j.Accepted {
-			continue
-		}
-		s, asked := j.Sub, w.Now
+		s, asked, was := j.Sub, w.Now, j.Accepted || j.AnsweredAt > 0
 		w.askAt(n, coordination.UserCall{Kind: coordination.Submit, Job: s.ID, Submit: &s}, func(r coordination.Reply, ok bool) {
 			switch {
 			case ok && (r.Status == 400 || r.Status == 422):
 				w.fail("forgotten", "%s: a repeat got %d", s.ID, r.Status)
-			case ok && r.Status == 201:
+			case ok && r.Status == 201 && was:
 				w.fail("forgotten", "%s: a repeat was accepted as new", s.ID)
-			case ok && r.Status == 200:
+			case ok && (r.Status == 200 || r.Status == 201):
+				j.Accepted = true
 				w.told(j, r, asked)
 			}
 		})
