--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +18,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"oakpick/internal/config"
+	"oakpick/internal/coordination"
 	"oakpick/internal/protocol"
 )
 
@@ -26,6 +29,14 @@
 	revision int64
 }
 
+// drop removes a key, as when its lease has run out.
+func (s *stateService) drop(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.keys, key)
+	s.revision++
+}
+
 func (s *stateService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,47 +118,97 @@
 	return res.StatusCode, string(b)
 }
 
-// Two whole processes' worth on loopback: one leads, the other hands users'
-// requests and operators' settings on over its HTTP/2 stream.
-func TestTwoControllersOnLoopback(t *testing.T) {
+// pair is two whole processes' worth on loopback; the first leads.
+type pair struct {
+	fronts, clusters []string
+	state            *stateService
+	end              []context.CancelFunc // each ends one
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
 	raw, err := os.ReadFile("../../testdata/settings.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	p := &pair{
+		fronts: []string{addr(t), addr(t)}, clusters: []string{addr(t), addr(t)},
+		state: &stateService{keys: map[string]protocol.Entry{}},
 	}
-	state := &http.Server{Handler: &stateService{keys: map[string]protocol.Entry{}}}
-	go func() { _ = state.Serve(l) }()
-	t.Cleanup(func() { _ = state.Close() })
+	state := serve(t, p.state)
+	cloud := serve(t, http.HandlerFunc(emptyCloud))
 	names := []string{"ctl-0", "ctl-1"}
-	fronts, clusters := []string{addr(t), addr(t)}, []string{addr(t), addr(t)}
-	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	t.Cleanup(func() { cancel(); group.Wait() })
+	t.Cleanup(group.Wait)
 	for i, name := range names {
 		var cfg config.Config
 		if err := json.Unmarshal(raw, &cfg); err != nil {
 			t.Fatal(err)
 		}
-		cfg.Node, cfg.Listen, cfg.PeerListen = name, fronts[i], clusters[i]
-		cfg.Peers = []config.Peer{{Name: names[1-i], Addr: clusters[1-i]}}
-		cfg.Services.State, cfg.Services.Cloud = l.Addr().String(), addr(t)
+		cfg.Node, cfg.Listen, cfg.PeerListen = name, p.fronts[i], p.clusters[i]
+		cfg.Peers = []config.Peer{{Name: names[1-i], Addr: p.clusters[1-i]}}
+		cfg.Services.State, cfg.Services.Cloud = state, cloud
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		p.end = append(p.end, cancel)
 		group.Go(func() {
 			if err := Run(ctx, &cfg, slog.New(slog.DiscardHandler)); err != nil {
 				t.Errorf("%s: %v", name, err)
 			}
 		})
 		// The first leads before the second begins.
-		for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-			if status, _ := ask(t, "GET", clusters[i]+"/admin/settings", ""); status == 200 {
-				break
-			} else if time.Now().After(deadline) {
-				t.Fatalf("%s never answers, last with %d", name, status)
-			}
+		within(t, func() (string, bool) {
+			status, _ := ask(t, "GET", p.clusters[i]+"/admin/settings", "")
+			return fmt.Sprintf("%s answers with %d", name, status), status == 200
+		})
+	}
+	return p
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+// within asks again and again until it is so, for twenty seconds at most.
+func within(t *testing.T, so func() (string, bool)) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if what, ok := so(); ok {
+			return
+		} else if time.Now().After(deadline) {
+			t.Fatalf("not so after 20 s: %s", what)
 		}
 	}
+}
+
+// emptyCloud has a machine type, and no machine to rent.
+func emptyCloud(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == protocol.PathTypes:
+		_, _ = w.Write(protocol.Encode(protocol.MachineTypes{Types: []protocol.MachineType{
+			{Name: "m4", CPUs: 4, MemoryGB: 16, CacheGB: 10, FetchRate: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: []string{"north"}},
+		}}))
+	case r.Method == http.MethodGet:
+		_, _ = w.Write(protocol.Encode(protocol.MachineList{}))
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write(protocol.EncodeError("no capacity"))
+	}
+}
+
+// One leads, the other hands users' requests and operators' settings on over its
+// HTTP/2 stream.
+func TestTwoControllersOnLoopback(t *testing.T) {
+	p := newPair(t)
+	fronts, clusters := p.fronts, p.clusters
 	for _, front := range fronts {
 		if status, _ := ask(t, "GET", front+"/healthz", ""); status != 200 {
 			t.Errorf("healthz: %d", status)
@@ -175,3 +236,71 @@
 		t.Errorf("the follower's status: %s", body)
 	}
 }
+
+// Users look at a job at both nodes at once and again and again: right after it was
+// accepted, while it is called off, and after the leader has ended. Whoever asks
+// after an answer was heard gets none that is older.
+func TestCloseLooksOnLoopback(t *testing.T) {
+	p := newPair(t)
+	submission := func(i int) string {
+		return string(protocol.Encode(map[string]any{
+			"id": fmt.Sprintf("wk-%06d", i), "jobclass": "c", "owner": "alpha", "shape": "service", "rank": "standard", "pieces": 1,
+			"vcpus": 1.0, "gpus": 0.0, "mem_gb": 1.0, "bundle": "img", "image_gb": 1.0, "kinds_of_host": nil, "site": nil,
+			"together": false, "spread": false, "loaners": false, "expected_s": 0.0, "savepoint_s": 0.0, "saving_s": 0.0, "due_s": nil,
+		}))
+	}
+	const path = "/v2/runs"
+	status := func(body string) string {
+		var a protocol.JobAnswer
+		if protocol.Decode([]byte(body), &a) != nil {
+			return ""
+		}
+		return a.Status
+	}
+	look := func(job string, i int, allowed ...string) {
+		var all sync.WaitGroup
+		for n := range 12 {
+			all.Go(func() {
+				code, body := ask(t, "GET", p.fronts[n%2]+path+"/"+job, "")
+				if n%3 == 0 {
+					code, body = ask(t, "POST", p.fronts[n%2]+path, submission(i))
+				}
+				if code != 503 && (code != 200 || !slices.Contains(allowed, status(body))) {
+					t.Errorf("%s at node %d: %d %q, allowed %v", job, n%2, code, status(body), allowed)
+				}
+			})
+		}
+		all.Wait()
+	}
+	within(t, func() (string, bool) {
+		code, body := ask(t, "POST", p.fronts[0]+path, submission(1))
+		return body, code == 201 || code == 200
+	})
+	for i := 1; i <= 8; i++ {
+		job := fmt.Sprintf("wk-%06d", i)
+		within(t, func() (string, bool) {
+			code, body := ask(t, "POST", p.fronts[i%2]+path, submission(i))
+			return body, code == 201 || code == 200
+		})
+		look(job, i, protocol.StatusQueued)
+		var called sync.WaitGroup
+		called.Go(func() { look(job, i, protocol.StatusQueued, protocol.StatusCancelled) })
+		within(t, func() (string, bool) {
+			code, body := ask(t, "POST", p.fronts[(i+1)%2]+path+"/"+job+"/abort", "")
+			return body, code == 200 && status(body) == protocol.StatusCancelled
+		})
+		look(job, i, protocol.StatusCancelled)
+		called.Wait()
+	}
+	p.end[0]()
+	p.state.drop(coordination.LeaderKey) // its lease runs out
+	within(t, func() (string, bool) {
+		code, body := ask(t, "GET", p.fronts[1]+path+"/wk-000003", "")
+		return body, code == 200 && status(body) == protocol.StatusCancelled
+	})
+	for n := range 12 {
+		if code, body := ask(t, "GET", p.fronts[1]+path+fmt.Sprintf("/wk-%06d", 1+n%8), ""); code != 503 && status(body) != protocol.StatusCancelled {
+			t.Errorf("after the leader has ended: %d %q", code, status(body))
+		}
+	}
+}
