--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -151,7 +151,9 @@
 // team is a team's use and limits.
 type team struct {
 	config.Team
-	used need
+	used    need
+	leaving need // of that, what stopping tasks are about to leave
+	owed    need // of that, what the present pass has promised to jobs that wait for it
 }
 
 // allows tells whether so much more stays within the limit.
@@ -693,6 +695,7 @@
 	t.host.used = t.host.used.minus(j.need)
 	if t.stopping {
 		t.host.leaving = t.host.leaving.minus(j.need)
+		j.team.leaving = j.team.leaving.minus(j.need)
 	}
 	j.team.used = j.team.used.minus(j.need)
 	if !j.isDone(t.index) {
@@ -862,6 +865,7 @@
 	}
 	if !t.stopping {
 		t.host.leaving = t.host.leaving.plus(t.job.need)
+		t.job.team.leaving = t.job.team.leaving.plus(t.job.need)
 	}
 	t.stopping, t.grace = true, grace
 	t.stopAt = e.n.now.Mono
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -115,7 +115,7 @@
 		}
 		idle := j.idle()
 		use := j.zoneUse()
-		for idle > 0 && j.team.allows(j.need) {
+		for idle > 0 && j.team.allows(j.need.plus(j.team.owed)) {
 			h := e.choose(j, use)
 			if h == nil {
 				break
@@ -130,10 +130,69 @@
 			use[h.zone]++
 			idle--
 		}
-		if left := min(idle, e.withinLimit(j, idle)); left > 0 {
+		left := e.withinLimit(j, idle)
+		if left > 0 {
 			e.fleet.unplaced = append(e.fleet.unplaced, wait{j, left})
 			e.makeRoom(j, left, use)
 		}
+		if left < idle {
+			e.makeWayInLimit(j, idle-left)
+		}
+	}
+}
+
+// makeWayInLimit stops tasks of a team that is at its limit, so that its jobs of
+// higher priority need not wait for those of lower to end by themselves. What is
+// about to be left is promised to the job: nothing later in the queue takes it.
+func (e *engine) makeWayInLimit(j *job, count int) {
+	t := j.team
+	// Room beyond the limit that so many tasks lack, whatever is promised already.
+	lack := func() need {
+		over := t.used.plus(t.owed).plus(j.need.times(float64(count))).minus(t.leaving)
+		n := need{}
+		if t.CPUsMax > 0 {
+			n.cpus = max(0, over.cpus-t.CPUsMax)
+		}
+		if t.GPUsMax > 0 {
+			n.gpus = max(0, over.gpus-t.GPUsMax)
+		}
+		return n
+	}
+	short := lack()
+	if vain, ok := e.pass.vainLimit[t]; !short.fits(need{}) && (!ok || order(j) > vain) {
+		var may []*task
+		for _, v := range e.order {
+			if v.team != t || v.Priority >= j.Priority || v.over || v.Cancelled || order(v) >= order(j) || v.Shape == protocol.Service {
+				continue
+			}
+			for _, x := range e.sorted(v) {
+				if !x.stopping {
+					may = append(may, x)
+				}
+			}
+		}
+		if len(may) == 0 {
+			e.pass.vainLimit[t] = order(j)
+		}
+		// What doesn't run yet first, then what costs least, the latest first.
+		slices.SortStableFunc(may, func(a, b *task) int {
+			return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), cmp.Compare(min(0, a.ranSince), min(0, b.ranSince)),
+				cmp.Compare(e.lossOf(a), e.lossOf(b)), cmp.Compare(b.ranSince, a.ranSince))
+		})
+		for _, x := range may {
+			if short.fits(need{}) {
+				break
+			}
+			if x.stopping || x.job.tasks[x.index] != x {
+				continue // with the gang that it was of
+			}
+			e.n.Stats.Preempted++
+			e.preemptTask(x, "its team's limit is needed for "+j.ID)
+			short = lack()
+		}
+	}
+	for ; count > 0 && t.owed.plus(j.need).fits(t.leaving); count-- {
+		t.owed = t.owed.plus(j.need)
 	}
 }
 
@@ -142,10 +201,10 @@
 	t := j.team
 	left := need{1e12, 1e12, 1e12} // no limit
 	if t.CPUsMax > 0 {
-		left.cpus = t.CPUsMax - t.used.cpus
+		left.cpus = t.CPUsMax - t.used.cpus - t.owed.cpus
 	}
 	if t.GPUsMax > 0 {
-		left.gpus = t.GPUsMax - t.used.gpus
+		left.gpus = t.GPUsMax - t.used.gpus - t.owed.gpus
 	}
 	return j.need.count(left, most)
 }
@@ -159,6 +218,8 @@
 	yields   bool              // yielding has been made
 	booting  []*host
 	vain     map[claim]bool // no task that may be stopped makes room for these
+	// Nothing of the team may be stopped for its jobs of up to this order.
+	vainLimit map[*team]int
 }
 
 // shape is what tells tasks apart that ask for the same machines.
@@ -180,8 +241,11 @@
 
 func (e *engine) beginPass() {
 	p := &e.pass
-	p.room, p.vain = map[shape][]*host{}, map[claim]bool{}
+	p.room, p.vain, p.vainLimit = map[shape][]*host{}, map[claim]bool{}, map[*team]int{}
 	p.freeing, p.yielding, p.booting, p.yields = p.freeing[:0], p.yielding[:0], p.booting[:0], false
+	for _, t := range e.teams {
+		t.owed = need{}
+	}
 	for _, h := range e.byName {
 		e.n.Stats.HostsSeen++
 		h.virtual = e.free(h)
@@ -353,7 +417,8 @@
 	if idle < j.Tasks-j.done && j.gangRan {
 		return
 	}
-	if e.withinLimit(j, idle) < idle {
+	if left := e.withinLimit(j, idle); left < idle {
+		e.makeWayInLimit(j, idle-left)
 		return
 	}
 	type spot struct {
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -600,6 +600,38 @@
 	check(t, w)
 }
 
+// A team is at its limit with batch work when a service of its own comes, and more
+// batch work waits, in tasks small enough to take what comes free first. There are
+// machines enough: as much of the batch yields as the service needs, saving, and
+// the limit holds throughout.
+func TestTeamsOwnBatchYieldsAtItsLimit(t *testing.T) {
+	w := world(t)
+	low := job(1, protocol.Array, 12)
+	low.Team, low.Priority = "red", protocol.Low
+	batch := w.Submit(low, 40*time.Second)
+	runs(t, w, low.ID, 12) // red may use 12 CPUs
+	more := job(2, protocol.Array, 6)
+	more.Team, more.Priority, more.CPUs = "red", protocol.Low, 0.5
+	w.Submit(more, 3*time.Second)
+	w.Run(5 * time.Second)
+	high := service(3, 2)
+	high.Team, high.Priority, high.CPUs = "red", protocol.Production, 2
+	s := w.Submit(high, 0)
+	if !w.Until(6*time.Second, func() bool { return w.Running(high.ID) == 2 }) {
+		t.Errorf("%d of 2 run after 6 s", w.Running(high.ID))
+	}
+	if n := w.Running(low.ID); n != 8 || len(batch.Saved) != 4 {
+		t.Errorf("%d of the batch's tasks run on, %d have saved", n, len(batch.Saved))
+	}
+	w.CancelJob(s)
+	for range 30 {
+		w.Run(3 * time.Second)
+		w.PollAll()
+	}
+	check(t, w)
+	served(t, w)
+}
+
 // A job within its team's guarantee finds no room; what runs is of a higher
 // priority, beyond its own team's guarantee. The queue would give the room
 // straight back, so nothing is stopped.
