A successor asks its predecessor to let go only once it has read the books

If the state service goes down between the two, nobody could answer the workers for the whole outage and everything that ran was lost (TestSuccessorThatCannotReadTheBooks fails without the change: new sessions after 40 s). Until the books are read nothing has been told or started, so a peer's word that it has not led counts up to then, and every bound counts from then.

--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -237,6 +237,44 @@
 	}
 }
 
+// The state service refuses the leader alone; another takes the term, and before it
+// has read the books the service is down for all, for much longer than a lease. It
+// asks nobody to let go for that, and nobody has told or started anything: what
+// runs is kept, and when the outage is over a job can be cancelled.
+func TestSuccessorThatCannotReadTheBooks(t *testing.T) {
+	w := world(t)
+	j := w.Submit(service(1, 2), 0)
+	runs(t, w, j.Sub.ID, 2)
+	w.Run(5 * time.Second)
+	hosts := w.On(j.Sub.ID)
+	taken := func() bool { h := w.State.Holder(coordination.LeaderKey); return h != "n0" && h != "" }
+	w.State.Cut["n0"] = true
+	w.Network = func(kind, from, _ string) fake.Fate {
+		f := fake.Well()
+		f.LoseAnswer = kind == "state" && from != "n0" && taken()
+		return f
+	}
+	if !w.Until(5*time.Second, taken) {
+		t.Fatal("nobody took the term")
+	}
+	w.Run(100 * time.Millisecond)
+	w.State.Outage(true)
+	w.Run(40 * time.Second)
+	if w.Session(hosts[0]) != 1 || !slices.Equal(w.On(j.Sub.ID), hosts) {
+		t.Errorf("what ran was lost in the outage\n%s", strings.Join(w.Log[max(0, len(w.Log)-20):], "\n"))
+	}
+	w.Network = nil
+	delete(w.State.Cut, "n0")
+	w.State.Outage(false)
+	w.Run(5 * time.Second)
+	w.CancelEverywhere(j)
+	w.Run(20 * time.Second)
+	if !j.Cancelled || len(w.On(j.Sub.ID)) != 0 {
+		t.Errorf("told %q, on %v", j.Told, w.On(j.Sub.ID))
+	}
+	check(t, w)
+}
+
 // onlyItsWorker makes a world in which the leader, n0, reaches nothing any more but
 // the worker that runs a job's replica, which nobody else reaches.
 func onlyItsWorker(t *testing.T) (*fake.World, *fake.Job) {
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -46,20 +46,20 @@
 	leader string
 	heard  time.Duration // when the state service, or a leader, was last heard
 
-	lookAt   time.Duration
-	looking  bool
-	shun     time.Duration // until when to leave the term to others
-	reached  time.Duration // when the leader last answered a greeting, or was first heard of
-	greetAt  time.Duration
-	lease    int64
-	until    time.Duration // while the lease certainly lasts, by our clock
-	renewAt  time.Duration
-	seen     int64 // version of the leader's key when last read; 0: absent
-	own      int64 // the version that we hold; 0: none
-	taken    int64 // the first version of this reign, before any raise
-	loading  *loader
-	acquire  *protocol.Txn
-	acquired time.Duration
+	lookAt  time.Duration
+	looking bool
+	shun    time.Duration // until when to leave the term to others
+	reached time.Duration // when the leader last answered a greeting, or was first heard of
+	greetAt time.Duration
+	lease   int64
+	until   time.Duration // while the lease certainly lasts, by our clock
+	renewAt time.Duration
+	seen    int64 // version of the leader's key when last read; 0: absent
+	own     int64 // the version that we hold; 0: none
+	led     int64 // the first version of the latest reign whose books were read; 0: none
+	loading *loader
+	acquire *protocol.Txn
+	ledAt   time.Duration // when the books were read; only from then on may anything be told or started
 
 	// letting go, see letGo
 	released map[string]time.Duration
@@ -114,7 +114,7 @@
 func (n *Node) idlePeer(r PeerResult) {
 	t := &n.term
 	up := time.Duration(float64(r.UpMs)*(1-drift)) * time.Millisecond
-	if n.engine != nil && r.Taken < t.own && n.now.Mono-up <= t.until {
+	if n.engine != nil && r.Led < t.own && n.now.Mono-up <= t.until {
 		t.idle[r.Peer] = max(t.idle[r.Peer], r.Asked)
 	}
 }
@@ -139,7 +139,11 @@
 	}
 	if t.own != 0 {
 		n.askIdle()
-		n.askRelease()
+		if n.engine != nil {
+			// Not before the books are read: if they can't be, the predecessor had
+			// better go on answering its workers.
+			n.askRelease()
+		}
 		if n.engine == nil && now > t.until {
 			n.stepDown("the term's lease ended while taking over")
 		}
@@ -327,8 +331,8 @@
 		n.stepDown("taken too late")
 		return
 	}
-	t.own, t.taken, t.leader = version, version, n.cfg.Node
-	t.acquired, t.renewAt = n.now.Mono, n.now.Mono
+	t.own, t.leader = version, n.cfg.Node
+	t.renewAt = n.now.Mono
 	t.released, t.askAt = map[string]time.Duration{}, 0
 	t.idle = map[string]time.Duration{}
 	t.loading = &loader{}
@@ -376,6 +380,7 @@
 			return
 		}
 		n.engine = e
+		t.led, t.ledAt = t.own, n.now.Mono
 	}
 }
 
@@ -394,14 +399,14 @@
 		n.follow(c.Leader, c.Term)
 	}
 	n.emit(Reply{ID: c.ID, Status: 200, Body: protocol.Encode(protocol.LetGoAnswer{
-		Released: true, Taken: t.taken, UpMs: n.now.Mono.Milliseconds(),
+		Released: true, Led: t.led, UpMs: n.now.Mono.Milliseconds(),
 	})})
 }
 
 // askRelease asks every peer that hasn't said so to let go of older terms.
 func (n *Node) askRelease() {
 	t := &n.term
-	if len(t.released) == len(n.cfg.Peers) || n.now.Mono < t.askAt || n.now.Mono > t.acquired+n.rules.hold {
+	if len(t.released) == len(n.cfg.Peers) || n.now.Mono < t.askAt || n.now.Mono > t.ledAt+n.rules.hold {
 		return
 	}
 	t.askAt = n.now.Mono + n.rules.report/3
@@ -424,7 +429,7 @@
 		}
 		return
 	}
-	if t.own == 0 || !r.Released || r.Term > t.own || r.Term < t.first() {
+	if t.own == 0 || !r.Released || r.Term > t.own || r.Term < t.led {
 		return
 	}
 	if _, ok := t.released[r.Peer]; !ok {
@@ -432,17 +437,15 @@
 	}
 }
 
-// first is the least term that this reign may have asked with.
-func (t *term) first() int64 { return t.taken }
-
 // lapseBase is when every earlier leader had certainly stopped answering
 // workers: when the last peer said so, or else when its hold must have ended.
 // Each earlier term's lease ended before ours was taken, and nobody answers
-// workers for longer than the hold beyond that.
+// workers for longer than the hold beyond that, or beyond our last word that we
+// had not led.
 func (n *Node) lapseBase() time.Duration {
 	t := &n.term
-	base := t.acquired
-	bound := t.acquired + n.rules.hold + time.Duration(float64(n.rules.hold)*drift)
+	base := t.ledAt
+	bound := t.ledAt + n.rules.hold + time.Duration(float64(n.rules.hold)*drift)
 	for _, p := range n.cfg.Peers {
 		at, ok := t.released[p.Name]
 		if !ok {
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -20,6 +20,7 @@
 	value   []byte
 	version int64
 	lease   int64
+	from    string // the node that wrote it
 }
 
 type lease struct {
@@ -90,6 +91,12 @@
 	}
 }
 
+// Holder names the node whose write made a key, or nobody's.
+func (s *State) Holder(key string) string {
+	s.expire()
+	return s.keys[key].from
+}
+
 func (s *State) execute(from string, c bookkeeping.StateCall) bookkeeping.StateResult {
 	r := bookkeeping.StateResult{ID: c.ID}
 	if s.Down || s.Cut[from] {
@@ -142,12 +149,12 @@
 		}
 		r.List.Revision = s.revision
 	case bookkeeping.StateTxn:
-		return s.txn(c)
+		return s.txn(from, c)
 	}
 	return r
 }
 
-func (s *State) txn(c bookkeeping.StateCall) bookkeeping.StateResult {
+func (s *State) txn(from string, c bookkeeping.StateCall) bookkeeping.StateResult {
 	r := bookkeeping.StateResult{ID: c.ID}
 	if len(c.Txn.Then) > s.limits.TxnOps || len(c.Txn.If) > 4*s.limits.TxnOps {
 		s.w.fail("state", "a transaction of %d changes and %d conditions", len(c.Txn.Then), len(c.Txn.If))
@@ -186,7 +193,7 @@
 		s.PageWrites++
 	}
 	for _, ch := range c.Txn.Then {
-		s.keys[ch.Put] = entry{protocol.Encode(ch.Value), s.revision, ch.Lease}
+		s.keys[ch.Put] = entry{protocol.Encode(ch.Value), s.revision, ch.Lease, from}
 	}
 	r.Number = s.revision
 	return r
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -221,7 +221,7 @@
 // LetGoAnswer says whether the node has let go of every term below.
 type LetGoAnswer struct {
 	Released bool  `msgpack:"released"`
-	Taken    int64 `msgpack:"taken"` // the last term that this process has taken; 0: none
+	Led      int64 `msgpack:"taken"` // the last term of which this process has read the books; 0: none
 	UpMs     int64 `msgpack:"up_ms"` // for how long it has been running
 }
 
