--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -4,12 +4,14 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"oakpick/internal/coordination"
 	"oakpick/internal/fake"
 	"oakpick/internal/protocol"
 )
@@ -68,9 +70,13 @@
 func TestRulesHoldUnderAnyOrdering(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := fake.NewWorld(fake.Settings())
-		cut := map[string]bool{}      // from>to: nothing arrives
-		deaf := map[string]bool{}     // hosts that get no answers and no commands
+		cut := map[string]bool{}   // from>to: nothing arrives
+		deaf := map[string]bool{}  // hosts that get no answers and no commands
+		mute := map[string]bool{}  // hosts whose reports reach nobody
+		var kept []protocol.Report // copies, for the next leader
+		leader := ""
 		loss, late, copies := 0, 0, 0 // in hundredths
+		slow := time.Duration(0)      // answers of the state service
 		w.Network = func(kind, from, to string) fake.Fate {
 			f := fake.Well()
 			if cut[from+">"+to] {
@@ -80,9 +86,16 @@
 				}
 				return f
 			}
+			if kind == "state" {
+				f.Answer += slow
+			}
 			draw := func(what string, share int) bool {
 				return share > 0 && rapid.IntRange(0, 99).Draw(t, what) < share
 			}
+			if mute[from] && kind == "report" {
+				f.LoseRequest = true
+				return f
+			}
 			if deaf[to] && kind == "orders" || deaf[from] && kind == "report" {
 				if kind == "orders" {
 					f.LoseRequest = true
@@ -141,6 +154,7 @@
 			switch rapid.SampledFrom([]string{
 				"submit", "submit", "cancel", "crash", "crash all", "state down", "state cut", "isolate", "cut host", "deaf",
 				"hang", "pause", "notice", "die", "cloud", "noise", "sick", "again", "zone",
+				"mute", "keep reports", "looks", "cancel at end", "odd", "slow state",
 			}).Draw(t, "action") {
 			case "submit":
 				submit()
@@ -230,17 +244,56 @@
 					k.Sick = true
 					w.After(30*time.Second, func() { k.Sick = false })
 				}
+			case "mute":
+				_, h := pick()
+				mute[h] = true
+				w.After(time.Duration(rapid.IntRange(1, 40).Draw(t, "for"))*time.Second, func() { delete(mute, h) })
+			case "keep reports":
+				w.Overheard = func(r protocol.Report) {
+					if len(kept) < 300 {
+						r.Tasks = slices.Clone(r.Tasks)
+						kept = append(kept, r)
+					}
+				}
+			case "looks":
+				for range 5 {
+					for i := range jobs {
+						w.CloseLook(w.Jobs[fmt.Sprintf("wk-%06d", i+1)])
+					}
+					w.Run(30 * time.Millisecond)
+				}
+			case "cancel at end":
+				j := w.Jobs[fmt.Sprintf("wk-%06d", rapid.IntRange(1, jobs).Draw(t, "job"))]
+				if !j.Cancel && j.Accepted && j.Sub.Shape != protocol.Service {
+					w.Until(20*time.Second, func() bool { return len(j.DoneTasks) == j.Sub.Tasks })
+					w.CancelEverywhere(j)
+				}
+			case "odd":
+				w.OddRequests()
+			case "slow state":
+				slow = time.Duration(rapid.IntRange(50, 900).Draw(t, "by")) * time.Millisecond
+				w.After(time.Duration(rapid.IntRange(1, 20).Draw(t, "for"))*time.Second, func() { slow = 0 })
 			case "noise":
 				loss, late, copies = rapid.IntRange(0, 20).Draw(t, "loss"), rapid.IntRange(0, 10).Draw(t, "late"), rapid.IntRange(0, 20).Draw(t, "copies")
 			}
 			for range rapid.IntRange(1, 6).Draw(t, "polls") {
 				w.Run(time.Duration(rapid.IntRange(100, 4000).Draw(t, "run")) * time.Millisecond)
 				w.PollAll()
+				if l := w.Leader(); l != nil && l.Name != leader {
+					leader = l.Name
+					for _, r := range kept { // to every controller, just as another leads
+						for _, n := range w.Nodes {
+							n.Ask(coordination.ReportCall{Report: &r}, func(coordination.Reply) {})
+						}
+					}
+					kept, w.Overheard = nil, nil
+				}
 			}
 			check(t, w)
 		}
-		loss, late, copies = 0, 0, 0
+		loss, late, copies, slow = 0, 0, 0, 0
 		w.Run(65 * time.Second) // the longest trouble is over
+		over := w.Now
 		for i := range jobs {
 			j := w.Jobs[fmt.Sprintf("wk-%06d", i+1)]
 			// What never ends is cancelled where it can keep others from running:
@@ -256,5 +309,10 @@
 		w.Run(time.Second)
 		check(t, w)
 		served(t, w)
+		for id, j := range w.Jobs {
+			if j.Accepted && j.AnsweredAt < max(over, w.Now-75*time.Second) {
+				t.Fatalf("%s: no question was answered since %v", id, j.AnsweredAt)
+			}
+		}
 	})
 }
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -504,6 +504,26 @@
 	}
 }
 
+// OddRequests sends what users send at times: jobs that can't run, of a team that
+// nobody knows, too large for any machine or for their team's limit. Each is
+// refused for good, or for now, and never accepted.
+func (w *World) OddRequests() {
+	for i, change := range []func(*protocol.Submission){
+		func(s *protocol.Submission) { s.Team = "nobody" },
+		func(s *protocol.Submission) { s.CPUs = 1e6 },
+		func(s *protocol.Submission) { s.Types = []string{"nothing"} },
+		func(s *protocol.Submission) { s.Team, s.Shape, s.Tasks = "red", protocol.Gang, 1000 },
+	} {
+		s := protocol.Submission{ID: fmt.Sprintf("wk-9%05d", i), Class: "odd", Team: "blue", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "img"}
+		change(&s)
+		w.ask(coordination.UserCall{Kind: coordination.Submit, Job: s.ID, Submit: &s}, func(r coordination.Reply, ok bool) {
+			if ok && r.Status != 422 && r.Status != 503 {
+				w.fail("accepted", "%s, which can't run: %d", s.ID, r.Status)
+			}
+		})
+	}
+}
+
 // CancelEverywhere asks every node at once to cancel a job, and repeats that as
 // users do.
 func (w *World) CancelEverywhere(j *Job) {
