--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -154,6 +154,8 @@
 	used    need
 	leaving need // of that, what stopping tasks are about to leave
 	owed    need // of that, what the present pass has promised to jobs that wait for it
+	// As of the last pass: what work that ends takes, and what waits of it.
+	ends, endsWait need
 }
 
 // allows tells whether so much more stays within the limit.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -61,8 +61,19 @@
 func (e *engine) queue() []*job {
 	sum := map[*team]need{}
 	var out []*job
+	for _, t := range e.teams {
+		t.ends, t.endsWait = need{}, need{}
+	}
 	for _, j := range e.order {
 		e.n.Stats.JobsSeen++
+		if j.Shape != protocol.Service {
+			for _, t := range j.tasks {
+				if !t.stopping {
+					j.team.ends = j.team.ends.plus(j.need)
+				}
+			}
+			j.team.endsWait = j.team.endsWait.plus(j.need.times(float64(j.idle())))
+		}
 		if j.Cancelled || j.over {
 			j.within = false
 			continue
@@ -115,7 +126,7 @@
 		}
 		idle := j.idle()
 		use := j.zoneUse()
-		for idle > 0 && j.team.allows(j.need.plus(j.team.owed)) {
+		for idle > 0 && j.team.allows(j.need.plus(j.team.heldFrom(j))) {
 			h := e.choose(j, use)
 			if h == nil {
 				break
@@ -141,6 +152,21 @@
 	}
 }
 
+// endsShare is the part of a team's limit that is left to work that ends, as long
+// as such work waits: services, which don't end, would keep it waiting for good.
+const endsShare = 0.4
+
+// heldFrom is what of its team's limit a job may not take: what is promised to
+// others, and from services what is left to work that ends.
+func (t *team) heldFrom(j *job) need {
+	n := t.owed
+	if j.Shape == protocol.Service {
+		n.cpus += max(0, min(t.CPUsMax*endsShare, t.ends.cpus+t.endsWait.cpus)-t.ends.cpus)
+		n.gpus += max(0, min(t.GPUsMax*endsShare, t.ends.gpus+t.endsWait.gpus)-t.ends.gpus)
+	}
+	return n
+}
+
 // makeWayInLimit stops tasks of a team that is at its limit, so that its jobs of
 // higher priority need not wait for those of lower to end by themselves. What is
 // about to be left is promised to the job: nothing later in the queue takes it.
@@ -186,6 +212,10 @@
 			if x.stopping || x.job.tasks[x.index] != x {
 				continue // with the gang that it was of
 			}
+			if rest := t.ends.minus(x.job.need); t.GPUsMax > 0 && rest.gpus < t.GPUsMax*endsShare || t.CPUsMax > 0 && rest.cpus < t.CPUsMax*endsShare {
+				break
+			}
+			t.ends = t.ends.minus(x.job.need)
 			e.n.Stats.Preempted++
 			e.preemptTask(x, "its team's limit is needed for "+j.ID)
 			short = lack()
@@ -200,11 +230,12 @@
 func (e *engine) withinLimit(j *job, most int) int {
 	t := j.team
 	left := need{1e12, 1e12, 1e12} // no limit
+	held := t.heldFrom(j)
 	if t.CPUsMax > 0 {
-		left.cpus = t.CPUsMax - t.used.cpus - t.owed.cpus
+		left.cpus = t.CPUsMax - t.used.cpus - held.cpus
 	}
 	if t.GPUsMax > 0 {
-		left.gpus = t.GPUsMax - t.used.gpus - t.owed.gpus
+		left.gpus = t.GPUsMax - t.used.gpus - held.gpus
 	}
 	return j.need.count(left, most)
 }
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -679,6 +679,39 @@
 	served(t, w)
 }
 
+// A team's services take its whole limit and more of them wait, and so does its
+// batch work. When one ends, work that ends gets its part of the limit first, since
+// services would keep it waiting for good; the waiting service follows it.
+func TestServicesLeaveWorkThatEndsItsPart(t *testing.T) {
+	w := world(t)
+	full := func(id int) *fake.Job {
+		s := service(id, 2)
+		s.Team, s.Priority, s.CPUs = "red", protocol.Production, 3 // of 12 CPUs at most
+		return w.Submit(s, 0)
+	}
+	a, b := full(1), full(2)
+	runs(t, w, a.Sub.ID, 2)
+	runs(t, w, b.Sub.ID, 2)
+	low := job(3, protocol.Array, 4)
+	low.Team, low.Priority = "red", protocol.Low
+	w.Submit(low, 8*time.Second)
+	c := full(4)
+	w.Run(3 * time.Second)
+	w.CancelJob(a)
+	runs(t, w, low.ID, 4)
+	if n := w.Running(c.Sub.ID); n != 0 {
+		t.Errorf("%d replicas run that leave no part to the batch", n)
+	}
+	runs(t, w, c.Sub.ID, 2)
+	for range 5 {
+		w.Run(3 * time.Second)
+		w.PollAll()
+	}
+	w.Run(time.Second)
+	check(t, w)
+	served(t, w)
+}
+
 // A job within its team's guarantee finds no room; what runs is of a higher
 // priority, beyond its own team's guarantee. The queue would give the room
 // straight back, so nothing is stopped.
