--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -540,3 +540,167 @@
 		}
 	}
 }
+
+// pollFor lets time pass, and has every job asked about as it does.
+func pollFor(w *fake.World, d time.Duration) {
+	for end := w.Now + d; w.Now < end; {
+		w.Run(2 * time.Second)
+		w.PollAll()
+	}
+	w.Run(time.Second)
+}
+
+// The three tasks of a job end far apart, two of them on machines that hang, and
+// the leader changes between any two ends: each counts once, and the job is done.
+func TestTasksEndFarApartWhileLeadersChange(t *testing.T) {
+	for _, shape := range []protocol.Shape{protocol.Array, protocol.Gang} {
+		for step := range 6 {
+			w := world(t)
+			s := job(1, shape, 3)
+			s.CPUs, s.SaveEach = 4, 0 // a machine each
+			j := w.Submit(s, 4*time.Second)
+			runs(t, w, s.ID, 3)
+			for i, host := range w.On(s.ID)[:2] {
+				w.Workers[host].HangUntil = w.Now + time.Duration(4+4*i)*time.Second
+			}
+			for i := range 3 {
+				w.Run(time.Duration(1500+700*step) * time.Millisecond)
+				if l := w.Leader(); l != nil && i < 2 {
+					l.Crash()
+					w.After(time.Second, l.Start)
+				}
+				w.PollAll()
+			}
+			pollFor(w, 60*time.Second)
+			check(t, w)
+			served(t, w)
+			if len(j.DoneTasks) != 3 {
+				t.Errorf("step %d: %d tasks done", step, len(j.DoneTasks))
+			}
+		}
+	}
+}
+
+// Leaders change ten times in two minutes, by ends, refusals and standing still,
+// half of it inside outages, while jobs come, end and are called off.
+func TestLeadersChangeTenTimes(t *testing.T) {
+	for seed := range 6 {
+		w := world(t)
+		id := 0
+		for change := range 10 {
+			id++
+			s := service(id, 1)
+			w.Submit(s, 0)
+			id++
+			w.Submit(job(id, protocol.Array, 2), 5*time.Second)
+			w.Run(time.Duration(5+(seed+change)%4) * time.Second)
+			l := w.Leader()
+			if l == nil {
+				w.Run(4 * time.Second)
+				continue
+			}
+			switch (seed + change) % 5 {
+			case 0:
+				l.Crash()
+				l.Start() // back at once
+			case 1:
+				l.Crash()
+				w.After(3*time.Second, l.Start)
+			case 2:
+				w.State.Cut[l.Name] = true
+				w.After(6*time.Second, func() { delete(w.State.Cut, l.Name) })
+			case 3:
+				l.PausedUntil = w.Now + 4*time.Second
+			case 4:
+				w.State.Outage(true)
+				w.After(time.Second, l.Crash)
+				w.After(1500*time.Millisecond, l.Start)
+				w.After(7*time.Second, func() { w.State.Outage(false) })
+			}
+			if change%3 == 1 {
+				w.CancelEverywhere(w.Jobs[fmt.Sprintf("wk-%06d", id-1)])
+			}
+			w.Run(4 * time.Second)
+			w.PollAll()
+		}
+		pollFor(w, 80*time.Second)
+		check(t, w)
+		served(t, w)
+	}
+}
+
+// Every controller is away for longer than a worker's lease, and then they come
+// back, or only one does: nothing starts before what ran is certainly gone, and
+// then all of it runs again.
+func TestAllControllersAwayForLongerThanALease(t *testing.T) {
+	for _, back := range []int{1, 3} {
+		for away := 8 * time.Second; away <= 16*time.Second; away += 700 * time.Millisecond {
+			w := world(t)
+			a := w.Submit(service(1, 3), 0)
+			w.Submit(job(2, protocol.Array, 4), 20*time.Second)
+			called := w.Submit(service(3, 2), 0)
+			runs(t, w, a.Sub.ID, 3)
+			runs(t, w, called.Sub.ID, 2)
+			w.CancelEverywhere(called)
+			w.Run(20 * time.Millisecond)
+			for _, n := range w.Nodes {
+				n.Crash()
+			}
+			w.Run(away)
+			for _, n := range w.Nodes[:back] {
+				n.Start()
+			}
+			pollFor(w, 10*time.Second)
+			for _, n := range w.Nodes[back:] {
+				n.Start()
+			}
+			w.CancelEverywhere(called)
+			pollFor(w, 70*time.Second)
+			check(t, w)
+			served(t, w)
+		}
+	}
+}
+
+// There is more work than room, urgent and not, and everything on the way to and
+// from workers takes more than a second: what comes first in the queue runs, what
+// yields is told once, and when the urgent work has gone the rest is served.
+func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	for _, slow := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 1400 * time.Millisecond} {
+		w := world(t)
+		w.Cloud.Most = 1
+		w.Network = func(kind, _, _ string) fake.Fate {
+			f := fake.Well()
+			if kind == "orders" || kind == "report" {
+				f.Request, f.Answer = slow/2, slow/2
+			}
+			return f
+		}
+		for i := range 5 {
+			low := job(i+1, protocol.Array, 4)
+			low.Priority, low.Types = protocol.Low, []string{"small"}
+			w.Submit(low, 6*time.Second)
+		}
+		w.Run(15 * time.Second)
+		var urgent []*fake.Job
+		for i := range 3 {
+			s := service(i+11, 2)
+			s.Priority, s.CPUs, s.Types = protocol.Production, 2, []string{"small"}
+			urgent = append(urgent, w.Submit(s, 0))
+		}
+		w.Run(15 * time.Second)
+		n := 0
+		for _, j := range urgent {
+			n += w.Running(j.Sub.ID)
+		}
+		if n < 4 { // of six: room for two on each machine
+			t.Errorf("links of %v: %d urgent replicas run", slow, n)
+		}
+		for _, j := range urgent {
+			w.CancelEverywhere(j)
+		}
+		pollFor(w, 90*time.Second)
+		check(t, w)
+		served(t, w)
+	}
+}
