--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -164,11 +164,11 @@
 	Teams       map[string]TeamUse  `json:"teams"`
 	Machines    map[string]Machines `json:"machines"`
 	Doubts      []string            `json:"machines_in_doubt"`
-	SetAside    []string            `json:"machines_set_aside"`
+	Cordoned    []string            `json:"machines_set_aside"`
 	Backlog     int                 `json:"pages_to_write"`
 	BacklogS    float64             `json:"oldest_page_waits_s"`
 	Pages       int                 `json:"pages"`
-	Released    []string            `json:"peers_let_go"`
+	SteppedDown []string            `json:"peers_let_go"`
 }
 
 // Queue is a class's tasks.
@@ -215,7 +215,7 @@
 	l := &LeaderStatus{
 		SinceS: (now - e.ledAt).Seconds(), CertainForS: max(0, e.n.term.until-now).Seconds(), Jobs: len(e.order), Over: len(e.finals),
 		Classes: map[string]Queue{}, Teams: map[string]TeamUse{}, Machines: map[string]Machines{},
-		Doubts: []string{}, SetAside: []string{}, Released: []string{}, Backlog: pages, BacklogS: oldest.Seconds(), Pages: e.book.Pages(),
+		Doubts: []string{}, Cordoned: []string{}, SteppedDown: []string{}, Backlog: pages, BacklogS: oldest.Seconds(), Pages: e.book.Pages(),
 	}
 	for name, t := range e.teams {
 		l.Teams[name] = TeamUse{
@@ -255,13 +255,13 @@
 		if h.doubtTok >= e.token {
 			l.Doubts = append(l.Doubts, h.name)
 		}
-		if h.sick {
-			l.SetAside = append(l.SetAside, h.name)
+		if h.cordoned {
+			l.Cordoned = append(l.Cordoned, h.name)
 		}
 	}
-	for p := range e.n.term.released {
-		l.Released = append(l.Released, p)
+	for p := range e.n.term.steppedDown {
+		l.SteppedDown = append(l.SteppedDown, p)
 	}
-	slices.Sort(l.Released)
+	slices.Sort(l.SteppedDown)
 	return l
 }
--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -848,15 +848,15 @@
 		// It fails wherever it goes: nothing is said against the machines.
 		for _, x := range e.byName {
 			delete(x.failedJobs, j.ID)
-			x.sick = x.sick && len(x.failedJobs) >= 2
+			x.cordoned = x.cordoned && len(x.failedJobs) >= 2
 		}
 		return
 	}
 	h.failedJobs[j.ID] = true
 	h.pauseUntil = max(h.pauseUntil, now+e.rules.lease)
-	if len(h.failedJobs) >= 2 && !h.sick {
-		h.sick = true
-		e.n.log(Info, "machine set aside", "host", h.name, "why", "tasks of different jobs fail there", "jobs", len(h.failedJobs))
+	if len(h.failedJobs) >= 2 && !h.cordoned {
+		h.cordoned = true
+		e.n.log(Info, "machine cordoned", "host", h.name, "why", "tasks of different jobs fail there", "jobs", len(h.failedJobs))
 	}
 }
 
@@ -1038,7 +1038,7 @@
 			e.placeAll()
 			// The more waits in vain, the more a pass takes, and the less it matters
 			// that the next is a little later.
-			e.passAt = now + time.Duration(len(e.fleet.unplaced))*e.rules.perWait
+			e.passAt = now + time.Duration(len(e.fleet.unplaced))*e.rules.passBackOff
 		}
 		e.fleetTick()
 	}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -614,8 +614,8 @@
 			why = "it never came up"
 		case h.up && h.session <= h.dead && now-h.heard > e.rules.lease*5:
 			why = "it is silent"
-		case h.up && len(h.tasks) == 0 && h.sick:
-			why = "it is set aside"
+		case h.up && len(h.tasks) == 0 && h.cordoned:
+			why = "it is cordoned"
 		case h.up && len(h.tasks) == 0 && len(h.others) == 0 && h.draining:
 			why = "it was emptied"
 		case h.up && len(h.tasks) == 0 && len(h.others) == 0 && !needed[h] && h.noticeAt == 0 &&
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -46,7 +46,7 @@
 	noticeAt   time.Duration // when the cloud takes it; 0: not known to
 	pauseUntil time.Duration
 	failedJobs map[string]bool
-	sick       bool
+	cordoned   bool
 	returning  bool
 	draining   bool          // is being emptied
 	drainNext  time.Duration // until when not to look again whether it can be
@@ -152,7 +152,7 @@
 	if !r.Newer(h.session, h.seq) && h.up || r.Session < h.session {
 		return
 	}
-	if h.fails > 0 && now-h.heard > e.rules.deaf {
+	if h.fails > 0 && now-h.heard > e.rules.silent {
 		h.next = now // it is back
 	}
 	if r.Session > h.session || !h.up {
@@ -405,7 +405,7 @@
 	if h.fails > 0 {
 		e.wake(h)
 		h.next = now + min(e.rules.report/6<<min(h.fails, 5), e.rules.lease/2)
-		if now-h.heard > e.rules.deaf {
+		if now-h.heard > e.rules.silent {
 			// It is silent itself. Hundreds may be, and each try takes a connection
 			// for a while: they are left alone until they report.
 			h.next = now + e.rules.lease/2
@@ -435,7 +435,7 @@
 	if now < e.hostsAt {
 		return
 	}
-	e.hostsAt = now + e.rules.look
+	e.hostsAt = now + e.rules.sweep
 	base := n.lapseBase()
 	raise := false
 	live, silent := 0, 0
@@ -443,7 +443,7 @@
 		n.Stats.HostsSeen++
 		if h.up && h.session > h.dead && now-h.heard < e.rules.lease {
 			live++
-			if now-h.heard > e.rules.deaf {
+			if now-h.heard > e.rules.silent {
 				silent++
 			}
 		}
@@ -486,7 +486,7 @@
 	// All of them at once: it is this node that the workers can't reach, and they
 	// know no other that would answer them. Another has to lead before their
 	// leases run out.
-	if live >= deafLeast && silent*8 > live*7 {
+	if live >= silentLeast && silent*8 > live*7 {
 		n.giveUp("no worker is heard any more")
 	}
 }
@@ -509,21 +509,21 @@
 func (e *engine) mayTell(j *job) bool {
 	base := e.n.lapseBase()
 	for _, t := range j.tasks {
-		if h := t.host; h.token < e.firstT && h.lapses(e, base) > e.n.now.Mono+e.rules.tell {
+		if h := t.host; h.token < e.firstT && h.lapses(e, base) > e.n.now.Mono+e.rules.cancelWithin {
 			return false
 		}
 	}
 	return true
 }
 
-// deafLeast is how many machines have to be silent at once before the leader
+// silentLeast is how many machines have to be silent at once before the leader
 // blames itself.
-const deafLeast = 3
+const silentLeast = 3
 
 // alive tells whether a machine can be given tasks.
 func (e *engine) alive(h *host) bool {
 	now := e.n.now.Mono
-	return h.up && !h.returning && !h.draining && !h.sick && !h.failedMachine && h.noticeAt == 0 && h.session > h.dead && now >= h.pauseUntil &&
+	return h.up && !h.returning && !h.draining && !h.cordoned && !h.failedMachine && h.noticeAt == 0 && h.session > h.dead && now >= h.pauseUntil &&
 		now-h.heard < e.rules.report*5/2 && (h.doubtTok < e.token)
 }
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -54,8 +54,8 @@
 		ID     uint64
 		Report *protocol.Report
 	}
-	// LetGoCall is a new leader's question.
-	LetGoCall struct {
+	// StepDownCall is a new leader's question.
+	StepDownCall struct {
 		ID     uint64
 		Term   int64
 		Leader string
@@ -78,7 +78,7 @@
 	// PeerResult answers a PeerCall.
 	PeerResult struct {
 		PeerCall
-		protocol.LetGoAnswer
+		protocol.StepDownAnswer
 	}
 	// Tick lets time pass.
 	Tick struct{}
@@ -96,7 +96,7 @@
 
 // Effects that come out of Step.
 type (
-	// Reply answers a UserCall, ReportCall or LetGoCall.
+	// Reply answers a UserCall, ReportCall or StepDownCall.
 	Reply struct {
 		ID         uint64
 		Status     int
@@ -239,8 +239,8 @@
 		n.user(c)
 	case ReportCall:
 		n.report(c)
-	case LetGoCall:
-		n.letGo(c)
+	case StepDownCall:
+		n.askedToStepDown(c)
 	case AdminCall:
 		n.admin(c)
 	case StateResult:
@@ -290,7 +290,7 @@
 		return true
 	}
 	if n.term.leader != "" {
-		return n.now.Mono-n.term.reached <= n.rules.reach
+		return n.now.Mono-n.term.reached <= n.rules.probeTimeout
 	}
 	return n.now.Mono-n.term.heard < n.rules.healthFor || n.now.Mono < n.rules.healthFor
 }
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -8,25 +8,25 @@
 
 // Rules are the node's own times, each a ratio to a figure of the settings.
 type Rules struct {
-	ttl       time.Duration // of the term's lease
-	renew     time.Duration // between renewals
-	poll      time.Duration // between a follower's looks at the term's key
-	hold      time.Duration // how long a leader in doubt goes on answering workers
-	lease     time.Duration // after which a worker's lease has certainly lapsed
-	report    time.Duration
-	answer    time.Duration // how long a direct command may take
-	retry     time.Duration // before a refused or lost write is sent again
-	raise     time.Duration // least time between two raises of the token
-	healthFor time.Duration
-	probe     time.Duration // between a follower's greetings to the leader
-	reach     time.Duration // after which a leader that doesn't answer them counts as out of reach
-	tell      time.Duration // within which the tasks of a cancelled job have to be gone, from when its user is told
-	cancel    time.Duration // after which a machine that may not obey isn't answered
-	deaf      time.Duration // a machine that has been silent for so long should have reported
-	shun      time.Duration // how long a node that gave up the term leaves it to others
-	look      time.Duration // between looks at all machines
-	perWait   time.Duration // for each job that waits in vain, between placement passes
-	blockSize int
+	ttl          time.Duration // of the term's lease
+	renew        time.Duration // between renewals
+	poll         time.Duration // between a follower's looks at the term's key
+	hold         time.Duration // how long a leader in doubt goes on answering workers
+	lease        time.Duration // after which a worker's lease has certainly lapsed
+	report       time.Duration
+	answer       time.Duration // how long a direct command may take
+	retry        time.Duration // before a refused or lost write is sent again
+	raise        time.Duration // least time between two raises of the token
+	healthFor    time.Duration
+	probe        time.Duration // between a follower's greetings to the leader
+	probeTimeout time.Duration // after which a leader that doesn't answer them counts as out of reach
+	cancelWithin time.Duration // within which the tasks of a cancelled job have to be gone, from when its user is told
+	cancel       time.Duration // after which a machine that may not obey isn't answered
+	silent       time.Duration // a machine that has been silent for so long should have reported
+	backOff      time.Duration // how long a node that gave up the term leaves it to others
+	sweep        time.Duration // between looks at all machines
+	passBackOff  time.Duration // for each job that waits in vain, between placement passes
+	blockSize    int
 }
 
 // drift is more than twice what the steady clocks of two machines may differ by.
@@ -45,24 +45,24 @@
 	lease := sec(w.Lease * (1 + drift))
 	ttl := TermLease(w)
 	r := Rules{
-		ttl:    ttl,
-		renew:  ttl / 5,
-		poll:   sec(w.Lease / 60),
-		lease:  lease + sec(w.Report/20),
-		report: sec(w.Report),
-		answer: sec(w.Report * 0.75),
-		retry:  sec(w.Report / 20),
-		raise:  sec(w.Lease / 4),
-		tell:   sec(w.Cancel*(1-drift) - w.Report/4),
-		look:   sec(w.Report / 40),
-		deaf:   sec(w.Report * 1.5),
-		hold:   sec(w.Lease * 2),
-		cancel: sec(w.Cancel - w.Lease*(1+2*drift) - w.Report),
+		ttl:          ttl,
+		renew:        ttl / 5,
+		poll:         sec(w.Lease / 60),
+		lease:        lease + sec(w.Report/20),
+		report:       sec(w.Report),
+		answer:       sec(w.Report * 0.75),
+		retry:        sec(w.Report / 20),
+		raise:        sec(w.Lease / 4),
+		cancelWithin: sec(w.Cancel*(1-drift) - w.Report/4),
+		sweep:        sec(w.Report / 40),
+		silent:       sec(w.Report * 1.5),
+		hold:         sec(w.Lease * 2),
+		cancel:       sec(w.Cancel - w.Lease*(1+2*drift) - w.Report),
 	}
-	r.shun = r.ttl * 2
-	r.perWait = r.look / 1000
+	r.backOff = r.ttl * 2
+	r.passBackOff = r.sweep / 1000
 	r.healthFor = r.ttl * 6
 	r.probe = sec(w.Lease / 12)
-	r.reach = r.probe * 5 / 2
+	r.probeTimeout = r.probe * 5 / 2
 	return r
 }
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -48,7 +48,7 @@
 
 	lookAt  time.Duration
 	looking bool
-	shun    time.Duration // until when to leave the term to others
+	backOff time.Duration // until when to leave the term to others
 	reached time.Duration // when the leader last answered a greeting, or was first heard of
 	greetAt time.Duration
 	lease   int64
@@ -61,10 +61,10 @@
 	acquire *protocol.Txn
 	ledAt   time.Duration // when the books were read; only from then on may anything be told or started
 
-	// letting go, see letGo
-	released map[string]time.Duration
-	askAt    time.Duration
-	floor    int64 // never act for a term below
+	// letting go, see askedToStepDown
+	steppedDown map[string]time.Duration
+	askAt       time.Duration
+	floor       int64 // never act for a term below
 
 	// while in doubt, see holdOver
 	doubtAt time.Duration
@@ -142,7 +142,7 @@
 		if n.engine != nil {
 			// Not before the books are read: if they can't be, the predecessor had
 			// better go on answering its workers.
-			n.askRelease()
+			n.askStepDown()
 		}
 		if n.engine == nil && now > t.until {
 			n.stepDown("the term's lease ended while taking over")
@@ -194,7 +194,7 @@
 func (n *Node) giveUp(why string) {
 	lease := n.term.lease
 	n.stepDown(why)
-	n.term.shun = n.now.Mono + n.rules.shun
+	n.term.backOff = n.now.Mono + n.rules.backOff
 	n.state(forRevoke, StateCall{Op: bookkeeping.StateRevoke, Lease: lease})
 }
 
@@ -267,7 +267,7 @@
 		n.lookLater()
 	case NotFound:
 		t.seen, t.leader = 0, ""
-		if n.now.Mono < t.shun {
+		if n.now.Mono < t.backOff {
 			n.lookLater()
 			return
 		}
@@ -333,7 +333,7 @@
 	}
 	t.own, t.leader = version, n.cfg.Node
 	t.renewAt = n.now.Mono
-	t.released, t.askAt = map[string]time.Duration{}, 0
+	t.steppedDown, t.askAt = map[string]time.Duration{}, 0
 	t.idle = map[string]time.Duration{}
 	t.loading = &loader{}
 	n.Stats.Terms++
@@ -384,9 +384,9 @@
 	}
 }
 
-// letGo answers a new leader: whatever term below its own this node held, it
+// askedToStepDown answers a new leader: whatever term below its own this node held, it
 // no longer answers workers for it.
-func (n *Node) letGo(c LetGoCall) {
+func (n *Node) askedToStepDown(c StepDownCall) {
 	t := &n.term
 	news := c.Term > t.floor // no late copy of what an earlier leader said
 	t.floor = max(t.floor, c.Term-1)
@@ -398,20 +398,20 @@
 		// can go on serving its users and send its workers there.
 		n.follow(c.Leader, c.Term)
 	}
-	n.emit(Reply{ID: c.ID, Status: 200, Body: protocol.Encode(protocol.LetGoAnswer{
-		Released: true, Led: t.led, UpMs: n.now.Mono.Milliseconds(),
+	n.emit(Reply{ID: c.ID, Status: 200, Body: protocol.Encode(protocol.StepDownAnswer{
+		SteppedDown: true, Led: t.led, UpMs: n.now.Mono.Milliseconds(),
 	})})
 }
 
-// askRelease asks every peer that hasn't said so to let go of older terms.
-func (n *Node) askRelease() {
+// askStepDown asks every peer that hasn't said so to let go of older terms.
+func (n *Node) askStepDown() {
 	t := &n.term
-	if len(t.released) == len(n.cfg.Peers) || n.now.Mono < t.askAt || n.now.Mono > t.ledAt+n.rules.hold {
+	if len(t.steppedDown) == len(n.cfg.Peers) || n.now.Mono < t.askAt || n.now.Mono > t.ledAt+n.rules.hold {
 		return
 	}
 	t.askAt = n.now.Mono + n.rules.report/3
 	for _, p := range n.cfg.Peers {
-		if _, ok := t.released[p.Name]; !ok {
+		if _, ok := t.steppedDown[p.Name]; !ok {
 			n.emit(PeerCall{Peer: p.Name, Term: t.own, Asked: n.now.Mono})
 		}
 	}
@@ -421,7 +421,7 @@
 	t := &n.term
 	if r.Term == 0 {
 		switch {
-		case !r.Released: // no answer
+		case !r.SteppedDown: // no answer
 		case n.engine != nil:
 			n.idlePeer(r)
 		case r.Peer == t.leader:
@@ -429,11 +429,11 @@
 		}
 		return
 	}
-	if t.own == 0 || !r.Released || r.Term > t.own || r.Term < t.led {
+	if t.own == 0 || !r.SteppedDown || r.Term > t.own || r.Term < t.led {
 		return
 	}
-	if _, ok := t.released[r.Peer]; !ok {
-		t.released[r.Peer] = n.now.Mono
+	if _, ok := t.steppedDown[r.Peer]; !ok {
+		t.steppedDown[r.Peer] = n.now.Mono
 	}
 }
 
@@ -447,7 +447,7 @@
 	base := t.ledAt
 	bound := t.ledAt + n.rules.hold + time.Duration(float64(n.rules.hold)*drift)
 	for _, p := range n.cfg.Peers {
-		at, ok := t.released[p.Name]
+		at, ok := t.steppedDown[p.Name]
 		if !ok {
 			return bound
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -189,7 +189,7 @@
 	case coordination.ReportCall:
 		c.ID = d.nextID
 		return c
-	case coordination.LetGoCall:
+	case coordination.StepDownCall:
 		c.ID = d.nextID
 		return c
 	case coordination.AdminCall:
@@ -249,7 +249,7 @@
 	case coordination.OrdersCall:
 		d.group.Go(func() error { d.push(d.workers.Send(e)); return nil })
 	case coordination.PeerCall:
-		d.group.Go(func() error { d.push(d.peers.LetGo(d.ctx, e)); return nil })
+		d.group.Go(func() error { d.push(d.peers.StepDown(d.ctx, e)); return nil })
 	case coordination.Log:
 		level := [...]slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelError}[e.Level]
 		d.log.Log(d.ctx, level, e.Text, e.Args...)
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -267,7 +267,7 @@
 	case coordination.ReportCall:
 		c.ID = n.nextID
 		command = c
-	case coordination.LetGoCall:
+	case coordination.StepDownCall:
 		c.ID = n.nextID
 		command = c
 	case coordination.AdminCall:
@@ -391,13 +391,13 @@
 				continue
 			}
 			w.After(f.Request, func() {
-				p.deliver(coordination.LetGoCall{Term: e.Term, Leader: n.Name}, func(r coordination.Reply) {
-					var a protocol.LetGoAnswer
+				p.deliver(coordination.StepDownCall{Term: e.Term, Leader: n.Name}, func(r coordination.Reply) {
+					var a protocol.StepDownAnswer
 					if f.LoseAnswer || r.Status != 200 || protocol.Decode(r.Body, &a) != nil {
 						return
 					}
 					w.After(f.Answer, func() {
-						n.back(coordination.PeerResult{PeerCall: e, LetGoAnswer: a}, life)
+						n.back(coordination.PeerResult{PeerCall: e, StepDownAnswer: a}, life)
 					})
 				})
 			})
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -211,18 +211,18 @@
 // RenewPath is where a lease is renewed.
 func RenewPath(lease int64) string { return GrantPath(lease) + renewSuffix }
 
-// LetGo is what a new leader tells its peers: terms below Term are over, and it
+// StepDown is what a new leader tells its peers: terms below Term are over, and it
 // is the one that leads. A Term of 0 is no more than a greeting.
-type LetGo struct {
+type StepDown struct {
 	Term   int64  `msgpack:"term"`
 	Leader string `msgpack:"leader"`
 }
 
-// LetGoAnswer says whether the node has let go of every term below.
-type LetGoAnswer struct {
-	Released bool  `msgpack:"released"`
-	Led      int64 `msgpack:"taken"` // the last term of which this process has read the books; 0: none
-	UpMs     int64 `msgpack:"up_ms"` // for how long it has been running
+// StepDownAnswer says whether the node has let go of every term below.
+type StepDownAnswer struct {
+	SteppedDown bool  `msgpack:"released"`
+	Led         int64 `msgpack:"taken"` // the last term of which this process has read the books; 0: none
+	UpMs        int64 `msgpack:"up_ms"` // for how long it has been running
 }
 
 // SplitJobPath takes apart the path of a request about jobs: the job's id
--- a/internal/protocol/words.go
+++ b/internal/protocol/words.go
@@ -103,9 +103,9 @@
 	abortSuffix = "/abort"
 	renewSuffix = "/renew"
 
-	// PathLetGo and PathPeerStatus are the project's own, between controllers.
-	PathLetGo = "/peer/let-go"
-	PathAdmin = "/admin/"
+	// PathStepDown and PathPeerStatus are the project's own, between controllers.
+	PathStepDown = "/peer/let-go"
+	PathAdmin    = "/admin/"
 )
 
 // MaxBody is the limit on request bodies, and on answers to users and workers.
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -271,17 +271,17 @@
 	return res, raw, err
 }
 
-// LetGo asks a peer to let go of older terms.
-func (p *Peers) LetGo(ctx context.Context, c coordination.PeerCall) coordination.PeerResult {
+// StepDown asks a peer to let go of older terms.
+func (p *Peers) StepDown(ctx context.Context, c coordination.PeerCall) coordination.PeerResult {
 	ctx, cancel := context.WithTimeout(ctx, p.wait)
 	defer cancel()
 	r := coordination.PeerResult{PeerCall: c}
-	res, raw, err := p.call(ctx, c.Peer, http.MethodPost, protocol.PathLetGo, protocol.Encode(protocol.LetGo{Term: c.Term, Leader: p.own}))
+	res, raw, err := p.call(ctx, c.Peer, http.MethodPost, protocol.PathStepDown, protocol.Encode(protocol.StepDown{Term: c.Term, Leader: p.own}))
 	if err != nil || res.StatusCode != http.StatusOK {
 		return r
 	}
-	if protocol.Decode(raw, &r.LetGoAnswer) != nil {
-		r.LetGoAnswer = protocol.LetGoAnswer{}
+	if protocol.Decode(raw, &r.StepDownAnswer) != nil {
+		r.StepDownAnswer = protocol.StepDownAnswer{}
 	}
 	return r
 }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -185,13 +185,13 @@
 		return
 	}
 	var reply coordination.Reply
-	if r.URL.Path == protocol.PathLetGo {
-		var m protocol.LetGo
+	if r.URL.Path == protocol.PathStepDown {
+		var m protocol.StepDown
 		if protocol.Decode(body, &m) != nil {
 			http.Error(w, "body", http.StatusBadRequest)
 			return
 		}
-		reply = s.owner.Do(coordination.LetGoCall{Term: m.Term, Leader: m.Leader}, Raw{}, protocol.PollWaitS*time.Second)
+		reply = s.owner.Do(coordination.StepDownCall{Term: m.Term, Leader: m.Leader}, Raw{}, protocol.PollWaitS*time.Second)
 	} else {
 		reply = serveUser(s.owner, s.limit, Raw{Method: r.Method, Path: r.URL.Path, Body: body, FromPeer: true})
 	}
