A submission's cost is a pass over the machines, held by a counting test

In the daemon a batch of up to 64 commands shares one pass. Nothing is repaired; TestWorkGrowsWithWhatChanged bounds it.

--- a/internal/coordination/scale_test.go
+++ b/internal/coordination/scale_test.go
@@ -71,6 +71,19 @@
 			if hosts > int64(15*machines) {
 				t.Errorf("a quiet second: %d machines looked at", hosts)
 			}
+			// One that finds a place costs a pass, which looks at each machine a few
+			// times, whatever else is there.
+			hosts, jobs = seen(func() {
+				for i := range 20 {
+					s := service(500+i, 1)
+					s.Team = "red"
+					n.Ask(coordination.UserCall{Kind: coordination.Submit, Job: s.ID, Submit: &s}, func(coordination.Reply) {})
+				}
+			})
+			if hosts > int64(20*4*(machines+64)) || jobs > int64(20*(machines/50+20)) {
+				t.Errorf("20 submissions: %d machines and %d jobs looked at", hosts, jobs)
+			}
+			t.Logf("a submission looks at %d machines and %d jobs", hosts/20, jobs/20)
 			waiting(w, 10)
 			w.Run(2 * time.Second)
 			few, _ := seen(func() { w.Run(2 * time.Second) })
