--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -82,11 +82,7 @@
 					w.After(at*time.Millisecond, func() { w.CancelEverywhere(both) })
 				}
 				w.Run(10 * time.Second)
-				for range 6 {
-					w.Run(3 * time.Second)
-					w.PollAll()
-				}
-				w.Run(time.Second)
+				pollFor(w, 18*time.Second)
 				check(t, w)
 				if ends.Told != protocol.StatusDone || called.Told != protocol.StatusCancelled {
 					t.Errorf("step %d: told %q and %q", step, ends.Told, called.Told)
@@ -146,11 +142,7 @@
 						w.After(2*time.Second, l.Start)
 					}
 				}
-				for range 40 {
-					w.Run(3 * time.Second)
-					w.PollAll()
-				}
-				w.Run(time.Second)
+				pollFor(w, 120*time.Second)
 				check(t, w)
 				served(t, w)
 				if services[0].Told != protocol.StatusCancelled {
@@ -475,11 +467,7 @@
 		t.Errorf("nobody leads after 5 s\n%s", strings.Join(w.Log[max(0, len(w.Log)-10):], "\n"))
 	}
 	old.Start()
-	for range 12 {
-		w.Run(4 * time.Second)
-		w.PollAll()
-	}
-	w.Run(time.Second)
+	pollFor(w, 48*time.Second)
 	check(t, w)
 	served(t, w)
 	for _, j := range jobs {
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -703,11 +703,7 @@
 		t.Errorf("%d replicas run that leave no part to the batch", n)
 	}
 	runs(t, w, c.Sub.ID, 2)
-	for range 5 {
-		w.Run(3 * time.Second)
-		w.PollAll()
-	}
-	w.Run(time.Second)
+	pollFor(w, 15*time.Second)
 	check(t, w)
 	served(t, w)
 }
