--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -87,11 +87,37 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(order(b), order(a)), cmp.Compare(a.SubmittedMs, b.SubmittedMs))
+		return cmp.Or(cmp.Compare(order(b), order(a)), cmp.Compare(e.queuedAtMs(a), e.queuedAtMs(b)))
 	})
 	return out
 }
 
+// queuedAtMs orders jobs of the same standing: by age, but of those with deadlines the
+// short go before the long. Where a team's limit lets too little run, all would be a
+// little late otherwise; and since age counts as well, the longest have their turn too.
+func (e *engine) queuedAtMs(j *job) int64 {
+	if j.Deadline == 0 {
+		return j.SubmittedMs
+	}
+	run := j.Estimate
+	if c := e.classes[j.Class]; c != nil && c.run > 0 {
+		run = c.run
+	}
+	limit := need{1e12, 1e12, 1e12}
+	if j.team.CPUsMax > 0 {
+		limit.cpus = j.team.CPUsMax
+	}
+	if j.team.GPUsMax > 0 {
+		limit.gpus = j.team.GPUsMax
+	}
+	alone := run * float64(j.Tasks-j.done) / float64(max(1, j.need.count(limit, 1<<30)))
+	return j.SubmittedMs + int64(alone*lengthWeight*1000)
+}
+
+// lengthWeight is how many seconds a job with a deadline lets others go first for each
+// second that it would take with its team's limit to itself.
+const lengthWeight = 10
+
 func order(j *job) int {
 	n := 2 * int(j.Priority)
 	if j.within {
