--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -116,7 +116,7 @@
 
 // lengthWeight is how many seconds a job with a deadline lets others go first for each
 // second that it would take with its team's limit to itself.
-const lengthWeight = 10
+const lengthWeight = 30
 
 func order(j *job) int {
 	n := 2 * int(j.Priority)
