--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -52,6 +53,36 @@
 	WriteRPS float64 `json:"write_rps" validate:"gte=1,lte=1e6"`
 	ValueKB  float64 `json:"value_kb" validate:"gte=1,lte=64"`
 	TxnOps   int     `json:"txn_ops" validate:"gte=1,lte=10000"`
+
+	Next *StateNext `json:"next" validate:"omitempty"`
+}
+
+// StateNext are the limits that the state service will have from some moment on. A
+// figure that is absent stays as it is.
+type StateNext struct {
+	RPS      *float64 `json:"rps" validate:"omitempty,gte=1,lte=1e6"`
+	WriteRPS *float64 `json:"write_rps" validate:"omitempty,gte=1,lte=1e6"`
+	ValueKB  *float64 `json:"value_kb" validate:"omitempty,gte=1,lte=64"`
+	TxnOps   *int     `json:"txn_ops" validate:"omitempty,gte=1,lte=10000"`
+}
+
+// Smallest are limits that hold now and after the change to come, if there is one.
+func (s State) Smallest() State {
+	if s.Next == nil {
+		return s
+	}
+	s.RPS = smaller(s.RPS, s.Next.RPS)
+	s.WriteRPS = smaller(s.WriteRPS, s.Next.WriteRPS)
+	s.ValueKB = smaller(s.ValueKB, s.Next.ValueKB)
+	s.TxnOps = smaller(s.TxnOps, s.Next.TxnOps)
+	return s
+}
+
+func smaller[T cmp.Ordered](now T, next *T) T {
+	if next == nil {
+		return now
+	}
+	return min(now, *next)
 }
 
 // Cloud is what the cloud bears.
--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -12,8 +12,8 @@
 
 	"github.com/go-playground/validator/v10"
 
-	"oakpick/internal/bookkeeping"
 	"oakpick/internal/config"
+	"oakpick/internal/storage"
 )
 
 // Options are the figures that operators may change while it runs.
@@ -33,7 +33,7 @@
 	w := cfg.Settings.Workers
 	return Options{
 		WriteShare: 0.8, Sample: 64, IdleS: 0, WarmRoom: 3,
-		PreemptMostS: 50 * w.Lease, GiveUpBoots: 4, TakeoverS: 1.5 * w.Report, MovesPerMin: 6 * cfg.Settings.State.WriteRPS,
+		PreemptMostS: 50 * w.Lease, GiveUpBoots: 4, TakeoverS: 1.5 * w.Report, MovesPerMin: 6 * cfg.Settings.State.Smallest().WriteRPS,
 	}
 }
 
@@ -86,10 +86,13 @@
 type optionsItem struct{ text string }
 
 // Emit writes it.
-func (o *optionsItem) Emit(v *bookkeeping.PageValue) { v.Options = o.text }
+func (o *optionsItem) Emit(v *storage.PageValue) { v.Options = o.text }
+
+// Size is the space that every figure together may take.
+func (o *optionsItem) Size() int { return storage.OptionsReserve }
 
 // Reserve leaves room for every figure to be changed.
-func (o *optionsItem) Reserve() int { return bookkeeping.OptionsReserve }
+func (o *optionsItem) Reserve() int { return storage.OptionsReserve }
 
 func (n *Node) admin(c AdminCall) {
 	switch {
@@ -133,13 +136,13 @@
 	e.optItem.text = string(text)
 	e.use(opt)
 	e.n.log(Info, "settings changed", "settings", string(text))
-	e.book.Touch(e.n.now.Mono, e.optItem, bookkeeping.NewWait(func() { e.reply(c.ID, 200, asJSON(opt)) }))
+	e.store.Touch(e.n.now.Mono, e.optItem, storage.OnCommit(func() { e.reply(c.ID, 200, asJSON(opt)) }))
 }
 
 // use puts figures in force.
 func (e *engine) use(opt Options) {
 	e.opt = opt
-	e.book.SetBudget(e.n.cfg.Settings.State.WriteRPS * opt.WriteShare)
+	e.store.SetBudget(e.n.cfg.Settings.State.Smallest().WriteRPS * opt.WriteShare)
 	e.schedule = true
 }
 
@@ -168,6 +171,7 @@
 	Backlog     int                 `json:"pages_to_write"`
 	BacklogS    float64             `json:"oldest_page_waits_s"`
 	Pages       int                 `json:"pages"`
+	Unsplit     int                 `json:"pages_above_limits_to_come"`
 	SteppedDown []string            `json:"peers_let_go"`
 }
 
@@ -177,6 +181,7 @@
 	Waiting int `json:"waiting"`
 	Placed  int `json:"placed"`
 	Running int `json:"running"`
+	Blocked int `json:"waiting_for_prerequisites"` // jobs
 }
 
 // TeamUse is a team's use and bounds.
@@ -211,11 +216,11 @@
 
 func (e *engine) status() *LeaderStatus {
 	now := e.n.now.Mono
-	pages, oldest := e.book.Backlog(now)
+	pages, oldest := e.store.Backlog(now)
 	l := &LeaderStatus{
 		SinceS: (now - e.ledAt).Seconds(), CertainForS: max(0, e.n.term.until-now).Seconds(), Jobs: len(e.order), Over: len(e.finals),
 		Classes: map[string]Queue{}, Teams: map[string]TeamUse{}, Machines: map[string]Machines{},
-		Doubts: []string{}, Cordoned: []string{}, SteppedDown: []string{}, Backlog: pages, BacklogS: oldest.Seconds(), Pages: e.book.Pages(),
+		Doubts: []string{}, Cordoned: []string{}, SteppedDown: []string{}, Backlog: pages, BacklogS: oldest.Seconds(), Pages: e.store.Pages(), Unsplit: e.store.Unsplit(),
 	}
 	for name, t := range e.teams {
 		l.Teams[name] = TeamUse{
@@ -225,8 +230,12 @@
 	for _, j := range e.order {
 		q, t := l.Classes[j.Class], l.Teams[j.Team]
 		q.Jobs++
-		q.Waiting += j.idle()
-		t.Waiting += j.idle()
+		if j.waits() {
+			q.Blocked++
+		} else {
+			q.Waiting += j.idle()
+			t.Waiting += j.idle()
+		}
 		for _, x := range j.tasks {
 			q.Placed++
 			if x.ranSince >= 0 {
--- /dev/null
+++ b/internal/coordination/dependencies_test.go
@@ -0,0 +1,133 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
+)
+
+func graphJob(id string, p protocol.Priority, deadline, run float64) *job {
+	return &job{
+		JobRecord: storage.JobRecord{ID: id, Priority: p, Deadline: deadline, Estimate: run, SubmittedMs: 1000, Class: "c"},
+		e:         &engine{},
+	}
+}
+
+// The end of a chain hands its priority and its deadline back: to what it needs
+// directly, to what that needs, and not to anything else.
+func TestPriorityAndDeadlinePassBackwards(t *testing.T) {
+	d := newDependencies()
+	scrub, split := graphJob("scrub", protocol.Low, 0, 15), graphJob("split", protocol.Low, 0, 25)
+	push, other := graphJob("push", protocol.High, 200, 8), graphJob("other", protocol.Normal, 0, 50)
+	d.add(split, []*job{scrub}, 0)
+	if scrub.priority() != protocol.Low || scrub.dependency.latestStartMs() != noDeadline {
+		t.Errorf("before anything urgent: %v, %d", scrub.priority(), scrub.dependency.latestStartMs())
+	}
+	d.add(other, []*job{scrub}, 0)
+	d.add(push, []*job{split}, 0)
+	if scrub.priority() != protocol.High || split.priority() != protocol.High || other.priority() != protocol.Normal {
+		t.Errorf("got %v, %v, %v", scrub.priority(), split.priority(), other.priority())
+	}
+	// 1 s of submission, 200 s of deadline, less what runs until then.
+	if got, want := split.dependency.latestStartMs(), int64(1000+200_000-8_000-25_000); got != want {
+		t.Errorf("split has to begin by %d, not %d", got, want)
+	}
+	if got, want := scrub.dependency.latestStartMs(), int64(1000+200_000-8_000-25_000-15_000); got != want {
+		t.Errorf("scrub has to begin by %d, not %d", got, want)
+	}
+	// The urgent end is cancelled: nothing is left that would hurry the others.
+	if with := d.cancelled("push"); len(with) != 0 {
+		t.Errorf("%v cancelled with the last job", with)
+	}
+	if split.priority() != protocol.Low || scrub.priority() != protocol.Normal || scrub.dependency.latestStartMs() != noDeadline {
+		t.Errorf("after it was cancelled: %v, %v, %d", split.priority(), scrub.priority(), scrub.dependency.latestStartMs())
+	}
+}
+
+// A diamond: the last job waits for both branches, and is cancelled once with either.
+func TestDiamondWaitsForBothAndIsCancelledOnce(t *testing.T) {
+	build := func() (*dependencies, []*job) {
+		d := newDependencies()
+		var jobs []*job
+		for _, id := range []string{"top", "left", "right", "bottom"} {
+			jobs = append(jobs, graphJob(id, protocol.Low, 0, 1))
+		}
+		d.add(jobs[1], jobs[:1], 0)
+		d.add(jobs[2], jobs[:1], 0)
+		d.add(jobs[3], jobs[1:3], 0)
+		return d, jobs
+	}
+	d, jobs := build()
+	if ready := d.done("top"); !slices.Equal(ready, []string{"left", "right"}) {
+		t.Errorf("ready after the top: %v", ready)
+	}
+	if ready := d.done("left"); len(ready) != 0 || !jobs[3].waits() {
+		t.Errorf("ready after one branch: %v", ready)
+	}
+	if ready := d.done("right"); !slices.Equal(ready, []string{"bottom"}) || jobs[3].waits() {
+		t.Errorf("ready after both: %v", ready)
+	}
+	d, _ = build()
+	if with := d.cancelled("left"); !slices.Equal(with, []string{"bottom"}) {
+		t.Errorf("cancelled with a branch: %v", with)
+	}
+	if with := d.cancelled("top"); !slices.Equal(with, []string{"right"}) {
+		t.Errorf("cancelled with the top later: %v", with)
+	}
+	d, _ = build()
+	if with := d.cancelled("top"); !slices.Equal(with, []string{"left", "right", "bottom"}) {
+		t.Errorf("cancelled with the top: %v", with)
+	}
+	if len(d.nodes) != 0 {
+		t.Errorf("%d jobs are left in the graph", len(d.nodes))
+	}
+}
+
+// A prerequisite that nothing is known of holds its dependent back for good.
+func TestUnknownPrerequisiteHoldsBack(t *testing.T) {
+	d := newDependencies()
+	known, j := graphJob("known", protocol.Low, 0, 1), graphJob("job", protocol.Low, 0, 1)
+	d.add(j, []*job{known}, 1)
+	if ready := d.done("known"); len(ready) != 0 || !j.waits() {
+		t.Errorf("ready: %v", ready)
+	}
+}
+
+// Thousands of jobs, as a chain, a fan and a ladder: adding, finishing and cancelling
+// cost what they touch, without recursion over what users name.
+func TestGraphOfThousandsCostsWhatItTouches(t *testing.T) {
+	const n = 20_000
+	d := newDependencies()
+	chain := []*job{graphJob("chain-0", protocol.Low, 0, 1)}
+	for i := 1; i < n; i++ {
+		j := graphJob(fmt.Sprint("chain-", i), protocol.Low, 0, 1)
+		d.add(j, chain[i-1:i], 0)
+		chain = append(chain, j)
+	}
+	last := graphJob("chain-last", protocol.High, 1e6, 1)
+	d.add(last, chain[n-1:], 0) // touches the whole chain, once
+	if chain[0].priority() != protocol.High {
+		t.Error("the priority did not reach the beginning of the chain")
+	}
+	hub := graphJob("hub", protocol.Low, 0, 1)
+	for i := range n {
+		d.add(graphJob(fmt.Sprint("fan-", i), protocol.Low, 0, 1), []*job{hub}, 0)
+	}
+	if ready := d.done("hub"); len(ready) != n {
+		t.Errorf("%d of %d are ready", len(ready), n)
+	}
+	for i := range n / 2 {
+		if ready := d.done(fmt.Sprint("chain-", i)); len(ready) != 1 {
+			t.Fatalf("after %d: %v", i, ready)
+		}
+	}
+	if with := d.cancelled(fmt.Sprint("chain-", n/2)); len(with) != n/2 {
+		t.Errorf("%d of %d were cancelled with the middle of the chain", len(with), n/2)
+	}
+	if d.visits > 8*2*n {
+		t.Errorf("%d jobs were looked at for %d", d.visits, 2*n)
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -9,9 +9,9 @@
 
 	"golang.org/x/time/rate"
 
-	"oakpick/internal/bookkeeping"
 	"oakpick/internal/config"
 	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
 )
 
 // fleet is what is rented, and the dealings with the cloud.
@@ -103,7 +103,7 @@
 		}
 		if r.Answered && !slices.ContainsFunc(r.Hosts, e.unheard) {
 			f.rentals = slices.DeleteFunc(f.rentals, func(x *rental) bool { return x == r })
-			e.book.Remove(now, r, nil)
+			e.store.Remove(now, r, nil)
 		}
 	}
 	if !f.listing && now >= f.listAt {
@@ -249,14 +249,14 @@
 		if len(c.Hosts) < r.Count {
 			e.noCapacity(r)
 		}
-		e.book.Touch(now, r, nil)
+		e.store.Touch(now, r, nil)
 	case NotFound, Invalid: // no capacity, or malformed
 		if c.Outcome == Invalid {
 			e.n.log(Error, "the cloud calls a rental malformed", "type", r.Type, "zone", r.Zone, "count", r.Count)
 		}
 		e.noCapacity(r)
 		f.rentals = slices.DeleteFunc(f.rentals, func(x *rental) bool { return x == r })
-		e.book.Remove(now, r, nil)
+		e.store.Remove(now, r, nil)
 	default:
 		// It may have been done: only its own name asks again without renting twice.
 		r.again = now + e.rules.report/3
@@ -324,6 +324,17 @@
 	e.n.log(Debug, "machine is up", "host", h.name, "type", h.kind, "zone", h.zone, "spot", h.spot)
 }
 
+// rental is a request for machines that is being made.
+type rental struct {
+	storage.RentalRecord
+	calling bool
+	again   time.Duration
+	ready   bool // durable, so that it may be sent
+}
+
+// Emit writes it.
+func (r *rental) Emit(v *storage.PageValue) { v.Rentals = append(v.Rentals, r.RentalRecord) }
+
 // coming tells whether a machine that isn't up can still be counted on.
 func (e *engine) coming(h *host) bool {
 	mt := e.fleet.kind(h.kind)
@@ -566,14 +577,14 @@
 		return 0
 	}
 	f.counter++
-	r := &rental{RentalRecord: bookkeeping.RentalRecord{
+	r := &rental{RentalRecord: storage.RentalRecord{
 		Request: fmt.Sprintf("oakpick-%d-%d", e.firstT, f.counter), Type: o.kind, Zone: o.zone, Spot: o.spot, Count: count, AtMs: e.n.now.WallMs,
 	}}
-	for r.Count > 1 && !e.book.Fits(r) { // its answer has to be kept on a page
+	for r.Count > 1 && !e.store.Fits(r) { // its answer has to be kept on a page
 		r.Count /= 2
 	}
 	f.rentals = append(f.rentals, r)
-	e.book.Touch(now, r, bookkeeping.NewWait(func() {
+	e.store.Touch(now, r, storage.OnCommit(func() {
 		r.ready = true
 		e.fleet.planAt = 0
 	}))
--- /dev/null
+++ b/internal/coordination/job.go
@@ -0,0 +1,190 @@
+package coordination
+
+import (
+	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
+	"slices"
+	"time"
+)
+
+// job is a job that isn't over: the recorded facts, and what is rebuilt.
+type job struct {
+	storage.JobRecord
+	e      *engine
+	team   *team
+	need   need
+	kinds  string // the types that it allows, in one word
+	full   storage.Bits
+	blocks map[int]*block
+	tasks  map[int]*task // active ones
+	done   int
+	within bool // its team's guarantee, as of the last pass
+
+	prerequisites []string // jobs that have to be done first, as its user named them
+	blockTasks    int      // how many tasks a block has
+	recordBlocks  bool     // that number is recorded, whatever the settings say later
+	dependency    *dependency
+	readyMs       int64 // since when its times count: its submission, or the end of its last prerequisite
+
+	committed   bool // its submission is durable
+	cancelKnown bool // its cancellation is durable
+	cancelledAt time.Duration
+	over        bool
+	cursor      int // no task below is idle, unless in requeue
+	requeue     []int
+	failures    int
+	failedOn    map[string]bool
+	retryAt     time.Duration
+	gangRan     bool // the present attempt has begun to run
+	gangEnding  bool // and is to end before the next
+	idleSince   time.Duration
+	holdUntil   time.Duration // until when it may wait for a better machine; 0: hasn't
+	prefer      *host         // where a replica that is being moved is to go
+}
+
+// block is a run of a job's tasks, recorded together.
+type block struct {
+	job    *job
+	number int
+	try    int64
+	done   storage.Bits
+	starts []*task
+}
+
+// Emit writes the block, and with the first also the job.
+func (b *block) Emit(v *storage.PageValue) {
+	j := b.job
+	if b.number == 0 {
+		r := j.JobRecord
+		r.Full = j.full.Text()
+		v.Jobs = append(v.Jobs, r)
+		if x, ok := j.extension(); ok {
+			v.Extensions = append(v.Extensions, x)
+		}
+		if len(b.starts) == 0 && (j.full.Has(0) || b.try == 0 && len(b.done) == 0) {
+			return
+		}
+	}
+	r := storage.BlockRecord{Job: j.ID, Block: b.number, Try: b.try, Done: b.done.Text()}
+	for _, t := range b.starts {
+		r.Starts = append(r.Starts, t.record())
+	}
+	v.Blocks = append(v.Blocks, r)
+}
+
+// Size is the space that it takes now.
+func (b *block) Size() int {
+	n := b.baseSize()
+	for _, t := range b.starts {
+		r := t.record()
+		n += r.Size()
+	}
+	return n
+}
+
+// Reserve is the space it may come to need.
+func (b *block) Reserve() int {
+	return b.baseSize() + b.job.blockLen(b.number)*storage.StartReserve
+}
+
+// baseSize is the space that it takes without its starts.
+func (b *block) baseSize() int {
+	j := b.job
+	n := storage.BlockSize(j.ID, j.blockLen(b.number))
+	if b.number == 0 {
+		n += j.JobRecord.Reserve(j.blockCount())
+		if x, ok := j.extension(); ok {
+			n += x.Size()
+		}
+	}
+	return n
+}
+
+// extension is what is recorded of a job beside its JobRecord, if anything.
+func (j *job) extension() (storage.JobExtension, bool) {
+	x := storage.JobExtension{Job: j.ID, Prerequisites: j.prerequisites}
+	if j.recordBlocks {
+		x.BlockTasks = j.blockTasks
+	}
+	return x, j.recordBlocks || len(j.prerequisites) > 0
+}
+
+// recordable tells whether one more start of a task's block fits the page that it is
+// on. Blocks that are cut for larger limits of the state service may be full. A gang's
+// starts are recorded together; whether they fit is asked when it is submitted.
+func (j *job) recordable(index int) bool {
+	b := j.blocks[index/j.blockTasks]
+	return b == nil || j.Shape == protocol.Gang || b.Size()+storage.StartReserve <= j.e.store.MaxItem()
+}
+
+// final is a job that is over.
+type final struct{ storage.FinalRecord }
+
+// Emit writes it.
+func (f *final) Emit(v *storage.PageValue) { v.Finals = append(v.Finals, f.FinalRecord) }
+
+// Size is the space that it takes.
+func (f *final) Size() int { return f.Reserve() }
+
+func (j *job) blockCount() int { return (j.Tasks + j.blockTasks - 1) / j.blockTasks }
+
+func (j *job) blockLen(b int) int { return min(j.blockTasks, j.Tasks-b*j.blockTasks) }
+
+func (j *job) isDone(index int) bool {
+	b := index / j.blockTasks
+	if j.full.Has(b) {
+		return true
+	}
+	bl := j.blocks[b]
+	return bl != nil && bl.done.Has(index%j.blockTasks)
+}
+
+// idle is how many tasks wait to be started.
+func (j *job) idle() int {
+	if j.Cancelled || j.over {
+		return 0
+	}
+	n := j.Tasks - j.done
+	for _, t := range j.tasks {
+		if !j.isDone(t.index) {
+			n--
+		}
+	}
+	return n
+}
+
+// nextIdle finds a task that waits and whose start can be recorded, and keeps it out
+// of the next search; -1: there is none.
+func (j *job) nextIdle() int {
+	for n := 0; n < len(j.requeue); {
+		i := j.requeue[n]
+		if j.isIdle(i) && !j.recordable(i) {
+			n++
+			continue
+		}
+		if n == 0 {
+			j.requeue = j.requeue[1:]
+		} else {
+			j.requeue = slices.Delete(j.requeue, n, n+1)
+		}
+		if j.isIdle(i) {
+			return i
+		}
+	}
+	for j.cursor < j.Tasks {
+		i := j.cursor
+		j.cursor++
+		if !j.isIdle(i) {
+			continue
+		}
+		if j.recordable(i) {
+			return i
+		}
+		j.requeue = append(j.requeue, i)
+	}
+	return -1
+}
+
+func (j *job) isIdle(index int) bool { return j.tasks[index] == nil && !j.isDone(index) }
+
+func (j *job) saves() bool { return j.SaveEach > 0 }
--- /dev/null
+++ b/internal/coordination/load.go
@@ -0,0 +1,248 @@
+package coordination
+
+import (
+	"cmp"
+	"fmt"
+	"oakpick/internal/config"
+	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
+	"slices"
+	"strings"
+	"time"
+)
+
+// newEngine makes a leader's picture of everything from the pages that it has read
+// behind the barrier of its term.
+func newEngine(n *Node, entries []protocol.Entry) (*engine, error) {
+	pages, err := storage.ReadPages(entries)
+	if err != nil {
+		return nil, err
+	}
+	e := emptyEngine(n)
+	for _, p := range pages { // jobs before blocks, which may be on other pages
+		if err := e.loadPage(p); err != nil {
+			return nil, err
+		}
+	}
+	for _, p := range pages {
+		if err := e.loadBlocks(p); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortStableFunc(e.order, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.SubmittedMs, b.SubmittedMs), cmp.Compare(a.ID, b.ID))
+	})
+	e.loadDependencies()
+	e.settleInherited()
+	for _, r := range e.fleet.rentals {
+		e.loadRentedHosts(r)
+	}
+	n.log(Info, "leading", "term", e.token, "jobs", len(e.order), "over", len(e.finals), "hosts", len(e.hosts),
+		"pages", e.store.Pages(), "pages above limits to come", e.store.Unsplit())
+	return e, nil
+}
+
+// emptyEngine is the picture of a service that has never been used.
+func emptyEngine(n *Node) *engine {
+	s := n.cfg.Settings
+	e := &engine{
+		n: n, rules: n.rules, opt: DefaultOptions(n.cfg), token: n.term.own, firstT: n.term.own, ledAt: n.now.Mono,
+		jobs: map[string]*job{}, finals: map[string]*final{}, teams: map[string]*team{}, hosts: map[string]*host{},
+		gone: map[string]time.Duration{}, writes: map[uint64]*storage.Write{}, asking: map[uint64]bool{}, schedule: true,
+		classes: map[string]*class{}, within: map[string]float64{}, dependencies: newDependencies(),
+	}
+	for _, o := range s.Objectives {
+		if o.Kind == "wait" {
+			e.within[o.Class] = o.Within
+		}
+	}
+	for _, t := range s.Teams {
+		e.teams[t.Name] = &team{Team: t}
+	}
+	// What is written has to fit the limits to come as well: when they come isn't said.
+	limits := s.State.Smallest()
+	e.store = storage.NewStore(storage.Limits{
+		PageBytes: storage.PageBytes(limits.ValueKB), ChangesPerTxn: limits.TxnOps, WritesPerS: limits.WriteRPS * e.opt.WriteShare,
+	}, fmt.Sprintf("%d", e.token), n.rules.retry)
+	if n.limitsLowered {
+		e.store.LimitsLowered()
+	}
+	return e
+}
+
+// loadPage takes in everything on a page but the blocks.
+func (e *engine) loadPage(p storage.LoadedPage) error {
+	e.store.Load(p.Number, p.Version)
+	if p.Stale {
+		e.store.LoadStale(e.n.now.Mono, p.Number)
+	}
+	if p.Value.Options != "" {
+		e.loadOptions(p)
+	}
+	for _, r := range p.Value.Finals {
+		f := &final{r}
+		e.finals[r.ID] = f
+		e.store.Load(p.Number, p.Version, f)
+	}
+	extensions := map[string]storage.JobExtension{}
+	for _, x := range p.Value.Extensions {
+		extensions[x.Job] = x
+	}
+	for _, r := range p.Value.Jobs {
+		if err := e.loadJob(p, r, extensions[r.ID]); err != nil {
+			return err
+		}
+	}
+	for _, r := range p.Value.Rentals {
+		rt := &rental{RentalRecord: r, ready: true}
+		e.fleet.rentals = append(e.fleet.rentals, rt)
+		e.store.Load(p.Number, p.Version, rt)
+	}
+	return nil
+}
+
+func (e *engine) loadOptions(p storage.LoadedPage) {
+	e.optItem = &optionsItem{p.Value.Options}
+	e.store.Load(p.Number, p.Version, e.optItem)
+	opt, err := e.opt.With([]byte(p.Value.Options))
+	if err != nil {
+		e.n.log(Error, "kept settings can't be used, defaults are in force", "error", err.Error())
+		return
+	}
+	e.use(opt)
+}
+
+func (e *engine) loadJob(p storage.LoadedPage, r storage.JobRecord, x storage.JobExtension) error {
+	j := e.newJob(r)
+	j.prerequisites = x.Prerequisites
+	if x.BlockTasks > 0 {
+		j.blockTasks, j.recordBlocks = x.BlockTasks, true
+	}
+	full, err := storage.ParseBits(r.Full)
+	if err != nil {
+		return fmt.Errorf("job %s: %w", r.ID, err)
+	}
+	j.full, j.committed, j.cancelKnown = full, true, r.Cancelled
+	j.cancelledAt = e.n.now.Mono
+	for b := range j.blockCount() {
+		if full.Has(b) {
+			j.done += j.blockLen(b)
+		}
+	}
+	e.store.Load(p.Number, p.Version, j.blocks[0])
+	return nil
+}
+
+func (e *engine) loadBlocks(p storage.LoadedPage) error {
+	for _, r := range p.Value.Blocks {
+		j := e.jobs[r.Job]
+		if j == nil {
+			// The job's final state and the end of its other blocks are on
+			// different pages, so the leader may have ended between the two.
+			// Anything else is damage, which must not end the whole service:
+			// the job is lost, and what it has on machines is stopped.
+			if e.finals[r.Job] == nil {
+				e.n.log(Error, "a block of an unknown job is dropped", "job", r.Job, "block", r.Block, "starts", len(r.Starts))
+			}
+			continue
+		}
+		b := j.blocks[r.Block]
+		if b == nil {
+			b = &block{job: j, number: r.Block}
+			j.blocks[r.Block] = b
+			e.store.Load(p.Number, p.Version, b)
+		}
+		if err := e.readBlock(b, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// loadDependencies links the jobs that need others, and cancels those that need one
+// whose cancellation is durable: the leader that was told may not have got to it.
+func (e *engine) loadDependencies() {
+	var cancelled []*job
+	for _, j := range e.order {
+		if len(j.prerequisites) > 0 && e.linkPrerequisites(j) && !j.Cancelled {
+			j.Cancelled, j.cancelKnown = true, true
+			cancelled = append(cancelled, j)
+		} else if j.Cancelled {
+			cancelled = append(cancelled, j)
+		}
+	}
+	for _, j := range cancelled {
+		e.cancelDependents(j.ID)
+	}
+}
+
+// settleInherited closes jobs whose end an earlier leader didn't get to.
+func (e *engine) settleInherited() {
+	for _, j := range slices.Clone(e.order) {
+		if j.Cancelled {
+			e.stopAll(j)
+		}
+		e.settle(j, nil)
+	}
+}
+
+func (e *engine) loadRentedHosts(r *rental) {
+	for _, name := range r.Hosts {
+		h := e.host(name)
+		h.kind, h.zone, h.spot = r.Type, r.Zone, r.Spot
+		h.rentedAt = e.n.now.Mono - time.Duration(max(0, e.n.now.WallMs-r.AtMs))*time.Millisecond
+	}
+}
+
+func (e *engine) readBlock(b *block, r storage.BlockRecord) error {
+	j := b.job
+	done, err := storage.ParseBits(r.Done)
+	if err != nil {
+		return fmt.Errorf("job %s: %w", j.ID, err)
+	}
+	b.try, b.done = r.Try, done
+	if j.full.Has(b.number) {
+		// Its completion is recorded in the first block; it was about to go. The
+		// first block itself stays, since it carries the job's record.
+		if b.number != 0 {
+			e.store.Remove(e.n.now.Mono, b, nil)
+			delete(j.blocks, b.number)
+		}
+		return nil
+	}
+	for i := range j.blockLen(b.number) {
+		if done.Has(i) {
+			j.done++
+		}
+	}
+	for _, s := range r.Starts {
+		h := e.host(s.Host)
+		t := &task{
+			job: j, block: b, index: s.Task, try: s.Try, host: h, session: s.Session,
+			inherited: true, committed: true, placedAt: e.n.now.Mono, ranSince: -1,
+		}
+		b.starts = append(b.starts, t)
+		j.tasks[t.index] = t
+		h.tasks = append(h.tasks, t)
+		h.used = h.used.plus(j.need)
+		h.session = max(h.session, s.Session)
+		j.team.used = j.team.used.plus(j.need)
+	}
+	return nil
+}
+
+func (e *engine) newJob(r storage.JobRecord) *job {
+	j := &job{
+		JobRecord: r, e: e, blocks: map[int]*block{}, tasks: map[int]*task{}, idleSince: e.n.now.Mono,
+		need: need{r.CPUs, r.GPUs, r.MemoryGB}, failedOn: map[string]bool{}, kinds: strings.Join(r.Types, " "),
+		readyMs: r.SubmittedMs, blockTasks: e.rules.blockTasks, recordBlocks: e.n.cfg.Settings.State.Next != nil,
+	}
+	if j.team = e.teams[r.Team]; j.team == nil {
+		j.team = &team{Team: config.Team{Name: r.Team}} // a team that the settings no longer name
+		e.teams[r.Team] = j.team
+	}
+	j.blocks[0] = &block{job: j}
+	e.jobs[r.ID] = j
+	e.order = append(e.order, j)
+	return j
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -8,9 +8,9 @@
 	"math/rand/v2"
 	"time"
 
-	"oakpick/internal/bookkeeping"
 	"oakpick/internal/config"
 	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
 )
 
 // Now is the time of a step: the steady clock since the process began, and the
@@ -21,23 +21,23 @@
 }
 
 // Outcome is how a call to another component ended.
-type Outcome = bookkeeping.Outcome
+type Outcome = storage.Outcome
 
 // Outcomes.
 const (
-	OK       = bookkeeping.OK
-	Conflict = bookkeeping.Conflict
-	NotFound = bookkeeping.NotFound
-	Invalid  = bookkeeping.Invalid
-	Refused  = bookkeeping.Refused
-	NotSent  = bookkeeping.NotSent
-	Lost     = bookkeeping.Lost
+	OK       = storage.OK
+	Conflict = storage.Conflict
+	NotFound = storage.NotFound
+	Invalid  = storage.Invalid
+	Refused  = storage.Refused
+	NotSent  = storage.NotSent
+	Lost     = storage.Lost
 )
 
 // Calls to the state service, and their answers.
 type (
-	StateCall   = bookkeeping.StateCall
-	StateResult = bookkeeping.StateResult
+	StateCall   = storage.StateCall
+	StateResult = storage.StateResult
 )
 
 // Commands that go into Step.
@@ -171,7 +171,9 @@
 
 	term   term
 	engine *engine // nil while not leading
-	Stats  Stats
+	// The state service has refused a value for its size: the limits to come are in force.
+	limitsLowered bool
+	Stats         Stats
 }
 
 // Stats are counts since the process began.
--- /dev/null
+++ b/internal/coordination/pipeline_test.go
@@ -0,0 +1,333 @@
+package coordination_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"oakpick/internal/config"
+	"oakpick/internal/coordination"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+)
+
+// accepted submits a job that needs others, as users do: once these are accepted.
+func accepted(t testing.TB, w *fake.World, s protocol.Submission, run time.Duration, needs ...*fake.Job) *fake.Job {
+	t.Helper()
+	for _, p := range needs {
+		if !w.Until(30*time.Second, func() bool { return p.Accepted }) {
+			t.Fatalf("%s was not accepted", p.Sub.ID)
+		}
+		s.Prerequisites = append(s.Prerequisites, p.Sub.ID)
+	}
+	return w.Submit(s, run)
+}
+
+// pipeline submits four jobs, each after the one before: arrays, a gang, and an urgent
+// end with a deadline.
+func pipeline(t testing.TB, w *fake.World, first int) []*fake.Job {
+	t.Helper()
+	scrub, split, grade, push := job(first, protocol.Array, 2), job(first+1, protocol.Array, 4), job(first+2, protocol.Gang, 2), job(first+3, protocol.Array, 1)
+	scrub.Priority, split.Priority, push.Priority, push.Deadline = protocol.Low, protocol.Low, protocol.High, 90
+	a := accepted(t, w, scrub, 2*time.Second)
+	b := accepted(t, w, split, 3*time.Second, a)
+	c := accepted(t, w, grade, 2*time.Second, b)
+	d := accepted(t, w, push, time.Second, c)
+	return []*fake.Job{a, b, c, d}
+}
+
+// settled fails unless every job of a pipeline is done, or cancelled from one on.
+func settled(t testing.TB, w *fake.World, jobs []*fake.Job) {
+	t.Helper()
+	cancelled := false
+	for _, j := range jobs {
+		cancelled = cancelled || j.Told == protocol.StatusCancelled
+		want := protocol.StatusDone
+		if cancelled {
+			want = protocol.StatusCancelled
+		}
+		if j.Told != want {
+			t.Fatalf("%s is called %q, not %q\n%s", j.Sub.ID, j.Told, want, strings.Join(w.Log[max(0, len(w.Log)-60):], "\n"))
+		}
+	}
+}
+
+// Each job begins only when the one before is done, also the last one, which comes
+// when the others are long over.
+func TestPipelineRunsInOrder(t *testing.T) {
+	w := world(t)
+	jobs := pipeline(t, w, 1)
+	w.Run(time.Second)
+	for _, j := range jobs {
+		w.CloseLook(j)
+	}
+	w.Run(time.Second)
+	for _, j := range jobs[1:] {
+		if j.Told != protocol.StatusQueued {
+			t.Errorf("%s is called %q while it waits", j.Sub.ID, j.Told)
+		}
+	}
+	pollFor(w, 60*time.Second)
+	settled(t, w, jobs)
+	late := accepted(t, w, job(9, protocol.Array, 1), time.Second, jobs...)
+	pollFor(w, 20*time.Second)
+	if late.Told != protocol.StatusDone {
+		t.Errorf("the job that came later is called %q", late.Told)
+	}
+	check(t, w)
+}
+
+// The leader ends after every single write in turn, and its successor goes on: nothing
+// starts too early, nothing is lost, whatever was durable by then. With a cancellation
+// of the second job, from just after its first task began until its last has ended,
+// the result is the same for all: the others are cancelled with it, or none is.
+func TestLeaderEndsBetweenTheWritesOfAPipeline(t *testing.T) {
+	for _, cancelAt := range []time.Duration{0, 4 * time.Second, 6 * time.Second, 7800 * time.Millisecond, 8200 * time.Millisecond, 8600 * time.Millisecond} {
+		t.Run(fmt.Sprint("cancelled after ", cancelAt), func(t *testing.T) {
+			t.Parallel()
+			outcomes := map[string]int{}
+			for writes := range 40 {
+				w := world(t)
+				spare(t, w)
+				jobs := pipeline(t, w, 1)
+				from := w.State.PageWrites
+				if cancelAt > 0 {
+					w.After(cancelAt, func() { w.CancelEverywhere(jobs[1]) })
+				}
+				ended := false
+				for w.Now < 60*time.Second {
+					w.Run(50 * time.Millisecond)
+					if !ended && w.State.PageWrites >= from+writes {
+						ended = true
+						if l := w.Leader(); l != nil {
+							l.Crash()
+							w.After(3*time.Second, l.Start)
+						}
+					}
+					if int(w.Now/(50*time.Millisecond))%10 == 0 {
+						for _, j := range jobs {
+							w.CloseLook(j)
+						}
+					}
+				}
+				pollFor(w, 40*time.Second)
+				check(t, w)
+				settled(t, w, jobs)
+				outcomes[jobs[1].Told]++
+			}
+			if cancelAt == 0 && outcomes[protocol.StatusDone] != 40 {
+				t.Errorf("%v without a cancellation", outcomes)
+			}
+			t.Log(outcomes)
+		})
+	}
+}
+
+// A job is cancelled in the seconds in which the leader changes, stands still, loses
+// the state service or its answers: from the moment that any node says so, no node
+// calls what needs it queued or running, and a job that is called cancelled with it
+// stays so.
+func TestPrerequisiteIsCancelledWhileTheLeadershipChanges(t *testing.T) {
+	troubles := map[string]func(w *fake.World){
+		"leader ends":  func(w *fake.World) { w.Nodes[0].Crash(); w.After(4*time.Second, w.Nodes[0].Start) },
+		"stands still": func(w *fake.World) { w.Nodes[0].PausedUntil = w.Now + 6*time.Second },
+		"refused": func(w *fake.World) {
+			w.State.Cut["n0"] = true
+			w.After(12*time.Second, func() { delete(w.State.Cut, "n0") })
+		},
+		"outage": func(w *fake.World) {
+			w.State.Outage(true)
+			w.After(5*time.Second, func() { w.State.Outage(false) })
+		},
+		"refused, then an outage": func(w *fake.World) {
+			w.State.Cut["n0"] = true
+			w.After(1500*time.Millisecond, func() { w.State.Outage(true) })
+			w.After(45*time.Second, func() { w.State.Outage(false); delete(w.State.Cut, "n0") })
+		},
+		"answers lost": func(w *fake.World) {
+			from, calls := w.Now, 0
+			w.Network = func(kind, _, _ string) fake.Fate {
+				f := fake.Well()
+				calls++
+				f.LoseAnswer = kind == "state" && w.Now < from+4*time.Second && calls%2 == 0
+				return f
+			}
+		},
+		"slow": func(w *fake.World) { // several times slower, and again and again
+			for i := range 12 {
+				w.After(time.Duration(i)*700*time.Millisecond, func() {
+					for _, n := range w.Nodes {
+						n.PausedUntil = w.Now + 500*time.Millisecond
+					}
+				})
+			}
+		},
+	}
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			told := 0
+			for step := range 10 {
+				w := world(t)
+				spare(t, w)
+				jobs := pipeline(t, w, 1)
+				long := accepted(t, w, job(20, protocol.Array, 2), time.Hour)
+				after := accepted(t, w, job(21, protocol.Gang, 2), time.Second, long)
+				last := accepted(t, w, job(22, protocol.Array, 2), time.Second, after, jobs[3])
+				w.Run(3 * time.Second)
+				all := append(slices.Clone(jobs), long, after, last)
+				lookClosely(w, all, 3*time.Second)
+				w.After(500*time.Millisecond, func() { trouble(w) })
+				w.After(time.Duration(step)*150*time.Millisecond, func() { w.CancelEverywhere(long) })
+				if step%2 == 0 {
+					w.After(time.Duration(step)*200*time.Millisecond, func() { w.CancelJob(jobs[1]) })
+				}
+				for range 70 {
+					w.Run(time.Second)
+					for _, j := range all {
+						w.CloseLook(j)
+					}
+				}
+				pollFor(w, 60*time.Second)
+				check(t, w)
+				settled(t, w, jobs)
+				settled(t, w, []*fake.Job{long, after, last})
+				if long.Told != protocol.StatusCancelled {
+					t.Fatalf("the long job is called %q", long.Told)
+				}
+				told++
+			}
+			if told != 10 {
+				t.Errorf("%d of 10 days", told)
+			}
+		})
+	}
+}
+
+// What a job that names others is told when it is submitted.
+func TestSubmissionsThatNameOtherJobs(t *testing.T) {
+	w := world(t)
+	done := w.Submit(job(1, protocol.Array, 1), time.Second)
+	pollFor(w, 15*time.Second)
+	long := accepted(t, w, job(2, protocol.Array, 1), time.Hour)
+	runs(t, w, long.Sub.ID, 1)
+	standing := accepted(t, w, service(3, 1), 0)
+	called := accepted(t, w, job(4, protocol.Array, 1), time.Hour)
+	through := accepted(t, w, job(5, protocol.Array, 1), time.Second, called)
+	w.CancelJob(called)
+	w.Run(5 * time.Second)
+	for i, c := range []struct {
+		needs  []string
+		status int
+		told   string
+	}{
+		{[]string{done.Sub.ID}, 201, protocol.StatusDone},
+		{[]string{done.Sub.ID, long.Sub.ID}, 201, protocol.StatusQueued},
+		{[]string{called.Sub.ID}, 201, protocol.StatusCancelled},
+		{[]string{long.Sub.ID, through.Sub.ID}, 201, protocol.StatusCancelled},
+		{[]string{"wk-777777"}, 422, ""},
+		{[]string{"wk-000105"}, 422, ""}, // its own
+		{[]string{standing.Sub.ID}, 422, ""},
+	} {
+		s := job(100+i, protocol.Array, 1)
+		if i == 5 {
+			s = job(105, protocol.Array, 1)
+		}
+		s.Prerequisites = c.needs
+		j := w.Submit(s, time.Second)
+		pollFor(w, 12*time.Second)
+		switch {
+		case c.status == 422 && j.Refused != 422:
+			t.Errorf("needs %v: accepted %t, refused %d", c.needs, j.Accepted, j.Refused)
+		case c.status == 201 && (!j.Accepted || j.Told != c.told):
+			t.Errorf("needs %v: accepted %t, called %q, not %q", c.needs, j.Accepted, j.Told, c.told)
+		}
+	}
+	check(t, w)
+
+	// The acceptance of what it needs is not durable: neither yes nor no can be said.
+	w.State.Outage(true)
+	p, d := job(200, protocol.Array, 1), job(201, protocol.Array, 1)
+	d.Prerequisites = []string{p.ID}
+	l := w.Leader()
+	status := 0
+	l.Ask(coordination.UserCall{Kind: coordination.Submit, Job: p.ID, Submit: &p}, func(coordination.Reply) {})
+	l.Ask(coordination.UserCall{Kind: coordination.Submit, Job: d.ID, Submit: &d}, func(r coordination.Reply) { status = r.Status })
+	w.Run(100 * time.Millisecond)
+	if status != 503 {
+		t.Errorf("needs a job that isn't durable: %d", status)
+	}
+	// A repeat is answered by the job's state, whatever it names now.
+	w.State.Outage(false)
+	w.Run(5 * time.Second)
+	again := long.Sub
+	again.Prerequisites = []string{"wk-777777"}
+	l = w.Leader()
+	l.Ask(coordination.UserCall{Kind: coordination.Submit, Job: again.ID, Submit: &again}, func(r coordination.Reply) { status = r.Status })
+	w.Run(100 * time.Millisecond)
+	if status != 200 {
+		t.Errorf("a repeat that names a job nobody knows: %d", status)
+	}
+}
+
+// A job that waits holds nothing: no room, no limit, no machine, no place in the queue;
+// and it counts for nobody's guarantee.
+func TestWaitingJobHoldsNothing(t *testing.T) {
+	s := fake.Settings()
+	s.Teams = []config.Team{{Name: "red", CPUs: 4, CPUsMax: 4}, {Name: "blue", CPUs: 4, CPUsMax: 8}}
+	w := fake.NewWorld(s)
+	w.Run(2 * time.Second)
+	first := job(1, protocol.Array, 1)
+	first.Team = "blue"
+	long := accepted(t, w, first, time.Hour)
+	runs(t, w, long.Sub.ID, 1)
+	w.Run(60 * time.Second)
+	machines := len(w.Cloud.Rented())
+	waits := job(2, protocol.Gang, 4)
+	waits.Team, waits.Priority = "red", protocol.Production
+	waiting := accepted(t, w, waits, time.Second, long)
+	w.Run(30 * time.Second)
+	if n := len(w.Cloud.Rented()); n > machines {
+		t.Errorf("%d machines are rented, %d were before", n, machines)
+	}
+	other := job(3, protocol.Gang, 4) // all that the team may use
+	other.Team, other.Priority = "red", protocol.Low
+	w.Submit(other, 3*time.Second)
+	runs(t, w, other.ID, 4)
+	pollFor(w, 20*time.Second)
+	if waiting.Told != protocol.StatusQueued || waiting.Began {
+		t.Errorf("the waiting job is called %q", waiting.Told)
+	}
+	check(t, w)
+}
+
+// An array of low priority stands before an urgent job. Work of normal priority takes
+// all room that there is; the array doesn't wait behind it, nor stop production.
+func TestLowArrayBeforeAnUrgentEndIsNotStarved(t *testing.T) {
+	w := world(t)
+	w.Cloud.Most = 1 // of each type in each zone
+	production := service(1, 1)
+	production.CPUs, production.Priority = 4, protocol.Production
+	kept := w.Submit(production, 0)
+	runs(t, w, kept.Sub.ID, 1)
+	for i := range 30 {
+		s := job(10+i, protocol.Array, 2)
+		s.CPUs, s.SaveEach, s.SaveTime = 2, 1, 0.5
+		w.Submit(s, 40*time.Second)
+	}
+	w.Run(20 * time.Second)
+	low, urgent := job(2, protocol.Array, 2), job(3, protocol.Array, 1)
+	low.Priority, urgent.Priority, urgent.Deadline = protocol.Low, protocol.High, 60
+	a := accepted(t, w, low, 3*time.Second)
+	b := accepted(t, w, urgent, time.Second, a)
+	pollFor(w, 40*time.Second)
+	if a.Told != protocol.StatusDone || b.Told != protocol.StatusDone {
+		t.Errorf("the low array is called %q, the urgent end %q", a.Told, b.Told)
+	}
+	if w.Running(kept.Sub.ID) != 1 {
+		t.Error("production was pushed out")
+	}
+	check(t, w)
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"oakpick/internal/bookkeeping"
 	"oakpick/internal/config"
 	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
 )
 
 // free is the room that the books leave on a machine.
@@ -56,76 +56,6 @@
 	return !j.Spread || use[zone]+use[""] < (j.Tasks+1)/2
 }
 
-// queue sorts the jobs that wait: by priority, then those within their team's
-// guarantee, then by age.
-func (e *engine) queue() []*job {
-	sum := map[*team]need{}
-	var out []*job
-	for _, t := range e.teams {
-		t.ends, t.endsWait = need{}, need{}
-	}
-	for _, j := range e.order {
-		e.n.Stats.JobsSeen++
-		if j.Shape != protocol.Service {
-			for _, t := range j.tasks {
-				if !t.stopping {
-					j.team.ends = j.team.ends.plus(j.need)
-				}
-			}
-			j.team.endsWait = j.team.endsWait.plus(j.need.times(float64(j.idle())))
-		}
-		if j.Cancelled || j.over {
-			j.within = false
-			continue
-		}
-		s := sum[j.team].plus(j.need.times(float64(j.Tasks - j.done)))
-		sum[j.team] = s
-		t := j.team
-		j.within = (t.CPUs > 0 || t.GPUs > 0) && (t.CPUs == 0 || s.cpus <= t.CPUs+slack) && (t.GPUs == 0 || s.gpus <= t.GPUs+slack)
-		if j.idle() > 0 {
-			out = append(out, j)
-		}
-	}
-	slices.SortStableFunc(out, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(order(b), order(a)), cmp.Compare(e.queuedAtMs(a), e.queuedAtMs(b)))
-	})
-	return out
-}
-
-// queuedAtMs orders jobs of the same standing: by age, but of those with deadlines the
-// short go before the long. Where a team's limit lets too little run, all would be a
-// little late otherwise; and since age counts as well, the longest have their turn too.
-func (e *engine) queuedAtMs(j *job) int64 {
-	if j.Deadline == 0 {
-		return j.SubmittedMs
-	}
-	run := j.Estimate
-	if c := e.classes[j.Class]; c != nil && c.run > 0 {
-		run = c.run
-	}
-	limit := need{1e12, 1e12, 1e12}
-	if j.team.CPUsMax > 0 {
-		limit.cpus = j.team.CPUsMax
-	}
-	if j.team.GPUsMax > 0 {
-		limit.gpus = j.team.GPUsMax
-	}
-	alone := run * float64(j.Tasks-j.done) / float64(max(1, j.need.count(limit, 1<<30)))
-	return j.SubmittedMs + int64(alone*lengthWeight*1000)
-}
-
-// lengthWeight is how many seconds a job with a deadline lets others go first for each
-// second that it would take with its team's limit to itself.
-const lengthWeight = 30
-
-func order(j *job) int {
-	n := 2 * int(j.Priority)
-	if j.within {
-		n++
-	}
-	return n
-}
-
 // wait is a job of which some tasks have found no place.
 type wait struct {
 	job   *job
@@ -214,7 +144,7 @@
 	if vain, ok := e.pass.vainLimit[t]; !short.fits(need{}) && (!ok || order(j) > vain) {
 		var may []*task
 		for _, v := range e.order {
-			if v.team != t || v.Priority >= j.Priority || v.over || v.Cancelled || order(v) >= order(j) || v.Shape == protocol.Service {
+			if v.team != t || v.priority() >= j.priority() || v.over || v.Cancelled || order(v) >= order(j) || v.Shape == protocol.Service {
 				continue
 			}
 			for _, x := range e.sorted(v) {
@@ -228,7 +158,7 @@
 		}
 		// What doesn't run yet first, then what costs least, the latest first.
 		slices.SortStableFunc(may, func(a, b *task) int {
-			return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), cmp.Compare(min(0, a.ranSince), min(0, b.ranSince)),
+			return cmp.Or(cmp.Compare(a.job.priority(), b.job.priority()), cmp.Compare(min(0, a.ranSince), min(0, b.ranSince)),
 				cmp.Compare(e.lossOf(a), e.lossOf(b)), cmp.Compare(b.ranSince, a.ranSince))
 		})
 		for _, x := range may {
@@ -428,7 +358,7 @@
 	fetch := h.fetchTime(e, j)
 	c := 0.8 * fetch
 	if within := e.within[j.Class]; within > 0 {
-		waited := float64(e.n.now.WallMs-j.SubmittedMs) / 1000
+		waited := float64(e.n.now.WallMs-j.readyMs) / 1000
 		if left := within - waited; left > 0 && fetch > 0.9*left-0.5 {
 			c += 40
 		} else if left <= 0 && j.Shape == protocol.Service {
@@ -525,10 +455,10 @@
 	if len(j.tasks) == 0 {
 		j.Try++
 		j.gangRan = false
-		e.book.Touch(now, j.blocks[0], nil)
+		e.store.Touch(now, j.blocks[0], nil)
 	}
 	var placed []*task
-	w := bookkeeping.NewWait(func() {
+	w := storage.OnCommit(func() {
 		for _, t := range placed {
 			e.started(t)
 		}
@@ -560,7 +490,7 @@
 	if order(v.job) >= order(j) {
 		return false
 	}
-	return v.job.Priority < j.Priority || j.within && !v.job.within && v.job.team != j.team
+	return v.job.priority() < j.priority() || j.within && !v.job.within && v.job.team != j.team
 }
 
 // makeRoom frees room for the tasks of a job that found none. Room that is
@@ -695,7 +625,7 @@
 		for _, h := range e.byName {
 			e.n.Stats.HostsSeen++
 			if h.up && slices.ContainsFunc(h.tasks, func(t *task) bool {
-				return !t.job.Cancelled && !(t.job.Priority == protocol.Production && t.job.within)
+				return !t.job.Cancelled && !(t.job.priority() == protocol.Production && t.job.within)
 			}) {
 				p.yielding = append(p.yielding, h)
 			}
--- /dev/null
+++ b/internal/coordination/queue.go
@@ -0,0 +1,84 @@
+package coordination
+
+import (
+	"cmp"
+	"oakpick/internal/protocol"
+	"slices"
+)
+
+// queue sorts the jobs that wait: by priority, then those within their team's
+// guarantee, then by age.
+func (e *engine) queue() []*job {
+	sum := map[*team]need{}
+	var out []*job
+	for _, t := range e.teams {
+		t.ends, t.endsWait = need{}, need{}
+	}
+	for _, j := range e.order {
+		e.n.Stats.JobsSeen++
+		if j.waits() {
+			j.within = false
+			continue
+		}
+		if j.Shape != protocol.Service {
+			for _, t := range j.tasks {
+				if !t.stopping {
+					j.team.ends = j.team.ends.plus(j.need)
+				}
+			}
+			j.team.endsWait = j.team.endsWait.plus(j.need.times(float64(j.idle())))
+		}
+		if j.Cancelled || j.over {
+			j.within = false
+			continue
+		}
+		s := sum[j.team].plus(j.need.times(float64(j.Tasks - j.done)))
+		sum[j.team] = s
+		t := j.team
+		j.within = (t.CPUs > 0 || t.GPUs > 0) && (t.CPUs == 0 || s.cpus <= t.CPUs+slack) && (t.GPUs == 0 || s.gpus <= t.GPUs+slack)
+		if j.idle() > 0 {
+			out = append(out, j)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(order(b), order(a)), cmp.Compare(e.queuedAtMs(a), e.queuedAtMs(b)))
+	})
+	return out
+}
+
+// queuedAtMs orders jobs of the same standing: by age, but of those with deadlines the
+// short go before the long. Where a team's limit lets too little run, all would be a
+// little late otherwise; and since age counts as well, the longest have their turn too.
+//
+// A job of a pipeline yields to none for its length. It is queued since its last
+// prerequisite is done, or since it has to begin for a deadline further on, if that is
+// earlier.
+func (e *engine) queuedAtMs(j *job) int64 {
+	if j.dependency != nil {
+		return min(j.readyMs, j.dependency.latestStartMs())
+	}
+	if j.Deadline == 0 {
+		return j.readyMs
+	}
+	limit := need{1e12, 1e12, 1e12}
+	if j.team.CPUsMax > 0 {
+		limit.cpus = j.team.CPUsMax
+	}
+	if j.team.GPUsMax > 0 {
+		limit.gpus = j.team.GPUsMax
+	}
+	alone := j.expectedRun() * float64(j.Tasks-j.done) / float64(max(1, j.need.count(limit, 1<<30)))
+	return j.readyMs + int64(alone*lengthWeight*1000)
+}
+
+// lengthWeight is how many seconds a job with a deadline lets others go first for each
+// second that it would take with its team's limit to itself.
+const lengthWeight = 30
+
+func order(j *job) int {
+	n := 2 * int(j.priority())
+	if j.within {
+		n++
+	}
+	return n
+}
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oakpick/internal/config"
+	"oakpick/internal/storage"
 )
 
 // Rules are the node's own times, each a ratio to a figure of the settings.
@@ -26,7 +27,7 @@
 	backOff      time.Duration // how long a node that gave up the term leaves it to others
 	sweep        time.Duration // between looks at all machines
 	passBackOff  time.Duration // for each job that waits in vain, between placement passes
-	blockSize    int
+	blockTasks   int           // how many tasks a block of a new job has
 }
 
 // drift is more than twice what the steady clocks of two machines may differ by.
@@ -59,6 +60,9 @@
 		hold:         sec(w.Lease * 2),
 		cancel:       sec(w.Cancel - w.Lease*(1+2*drift) - w.Report),
 	}
+	// By the limits as they are, also if others are to come: earlier versions that
+	// run beside this one, and jobs that they accepted, have blocks of this length.
+	r.blockTasks = storage.BlockTasks(storage.PageBytes(cfg.Settings.State.ValueKB))
 	r.backOff = r.ttl * 2
 	r.passBackOff = r.sweep / 1000
 	r.healthFor = r.ttl * 6
--- /dev/null
+++ b/internal/coordination/task.go
@@ -0,0 +1,311 @@
+package coordination
+
+import (
+	"cmp"
+	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
+	"slices"
+	"time"
+)
+
+// task is one started task that may be on a machine.
+type task struct {
+	job     *job
+	block   *block
+	index   int
+	try     int64
+	host    *host
+	session int64
+
+	inherited bool  // recorded by an earlier term
+	committed bool  // its start is durable
+	sentToken int64 // highest token with which a start was sent; 0: never
+	prevToken int64 // the same before the call under way
+	answered  bool  // a worker's answer has confirmed the start
+	seen      bool
+	state     protocol.TaskState
+	placedAt  time.Duration
+	ranSince  time.Duration
+	stopping  bool
+	stopAt    time.Duration
+	grace     float64
+	stopSent  time.Duration
+}
+
+func (t *task) record() storage.StartRecord {
+	return storage.StartRecord{Task: t.index, Try: t.try, Host: t.host.name, Session: t.session}
+}
+
+func (t *task) attempt() protocol.Attempt {
+	return protocol.Attempt{Job: t.job.ID, Task: t.index, Try: t.try}
+}
+
+func (e *engine) sorted(j *job) []*task {
+	out := make([]*task, 0, len(j.tasks))
+	for _, t := range j.tasks {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b *task) int { return cmp.Compare(a.index, b.index) })
+	return out
+}
+
+// place records the start of a task; it is sent once that is durable.
+func (e *engine) place(j *job, index int, h *host, w *storage.CommitWait) *task {
+	bn := index / j.blockTasks
+	b := j.blocks[bn]
+	if b == nil {
+		b = &block{job: j, number: bn}
+		j.blocks[bn] = b
+	}
+	try := j.Try
+	if j.Shape != protocol.Gang {
+		b.try++
+		try = b.try
+	}
+	t := &task{job: j, block: b, index: index, try: try, host: h, session: h.session, placedAt: e.n.now.Mono, ranSince: -1}
+	b.starts = append(b.starts, t)
+	j.tasks[index] = t
+	h.tasks = append(h.tasks, t)
+	h.used = h.used.plus(j.need)
+	h.emptySince = 0
+	j.team.used = j.team.used.plus(j.need)
+	h.fetch(e, j)
+	if w == nil {
+		w = storage.OnCommit(func() { e.started(t) })
+	}
+	e.store.Touch(e.n.now.Mono, b, w)
+	return t
+}
+
+// started notes that a start is durable.
+func (e *engine) started(t *task) {
+	t.committed = true
+	if t.job.tasks[t.index] != t {
+		return
+	}
+	if t.job.Cancelled || t.stopping {
+		e.drop(t)
+		e.settle(t.job, nil)
+		return
+	}
+	e.wake(t.host)
+}
+
+// drop forgets a task that is certainly not on its machine, or no longer.
+func (e *engine) drop(t *task) {
+	j := t.job
+	if j.tasks[t.index] != t {
+		return
+	}
+	delete(j.tasks, t.index)
+	t.block.starts = slices.DeleteFunc(t.block.starts, func(x *task) bool { return x == t })
+	t.host.tasks = slices.DeleteFunc(t.host.tasks, func(x *task) bool { return x == t })
+	t.host.used = t.host.used.minus(j.need)
+	if t.stopping {
+		t.host.leaving = t.host.leaving.minus(j.need)
+		j.team.leaving = j.team.leaving.minus(j.need)
+	}
+	j.team.used = j.team.used.minus(j.need)
+	if !j.isDone(t.index) {
+		j.requeue = append(j.requeue, t.index)
+		j.idleSince = e.n.now.Mono
+	}
+	if len(t.host.tasks) == 0 {
+		t.host.emptySince = e.n.now.Mono
+		t.host.used, t.host.leaving = need{}, need{} // no rounding is carried on
+	}
+	e.schedule = true
+	e.store.Touch(e.n.now.Mono, t.block, nil)
+	if j.Shape == protocol.Gang {
+		e.gangLost(j)
+	}
+}
+
+// gangLost decides what the loss of a member means: while the attempt has not
+// begun to run a replacement joins it; later the rest must go first.
+func (e *engine) gangLost(j *job) {
+	if j.over || j.Cancelled {
+		return
+	}
+	if len(j.tasks) == 0 {
+		j.gangRan, j.gangEnding = false, false
+		return
+	}
+	if j.gangRan {
+		j.gangEnding = true
+	}
+}
+
+// lost is a task that is gone without having told why.
+func (e *engine) lost(t *task, proof string) {
+	e.n.Stats.Lost++
+	e.n.log(Info, "task lost", "job", t.job.ID, "task", t.index, "attempt", t.try, "host", t.host.name, "proof", proof)
+	e.drop(t)
+	e.settle(t.job, nil)
+}
+
+// exited handles a task that its worker reports as ended. The worker is told to
+// forget it once what it means is durable.
+func (e *engine) exited(t *task, r protocol.TaskReport) {
+	j, h, a := t.job, t.host, r.Attempt
+	h.forget[a] = forgetting{token: max(t.sentToken, e.firstT-1), since: e.n.now.Mono}
+	w := storage.OnCommit(func() { e.forgettable(h, a) })
+	now := e.n.now.Mono
+	switch r.Cause {
+	case protocol.Done:
+		e.n.Stats.Finished++
+		e.ran(j, now-t.ranSince, t.ranSince >= 0 && !t.inherited)
+		j.failures = 0
+		e.markDone(j, t.index)
+		if j.Shape == protocol.Gang { // complete together
+			for i := range j.Tasks {
+				e.markDone(j, i)
+			}
+			for _, m := range e.sorted(j) {
+				if m != t {
+					e.drop(m)
+				}
+			}
+		}
+	case protocol.Failed:
+		e.failed(j, h)
+	case protocol.NoRoom, protocol.Busy:
+		h.pauseUntil = now + e.rules.report
+	case protocol.Unknown:
+		j.retryAt = now + e.rules.report/2
+	case protocol.Alone:
+		j.gangEnding = true
+	}
+	if r.Cause != protocol.Done {
+		e.n.log(Debug, "task ended", "job", j.ID, "task", t.index, "host", h.name, "cause", r.Cause.String(), "saved", r.Saved)
+	}
+	b := t.block
+	e.drop(t)
+	if j.blocks[b.number] == b {
+		e.store.Touch(now, b, w)
+	} else {
+		e.store.Touch(now, j.blocks[0], w)
+	}
+	e.settle(j, w)
+}
+
+func (e *engine) markDone(j *job, index int) {
+	if j.isDone(index) || j.Cancelled {
+		return
+	}
+	bn := index / j.blockTasks
+	b := j.blocks[bn]
+	if b == nil {
+		b = &block{job: j, number: bn}
+		j.blocks[bn] = b
+	}
+	b.done.Set(index % j.blockTasks)
+	j.done++
+	now := e.n.now.Mono
+	e.store.Touch(now, b, nil)
+	for i := range j.blockLen(bn) {
+		if !b.done.Has(i) {
+			return
+		}
+	}
+	// The whole block is done: the first block says so, and only when that is
+	// durable does the block itself go.
+	j.full.Set(bn)
+	e.store.Touch(now, j.blocks[0], storage.OnCommit(func() {
+		if bn != 0 && j.blocks[bn] == b && len(b.starts) == 0 {
+			delete(j.blocks, bn)
+			e.store.Remove(e.n.now.Mono, b, nil)
+		}
+	}))
+}
+
+// settle closes a job that is over and has nothing on machines any more.
+func (e *engine) settle(j *job, w *storage.CommitWait) {
+	if j.over || len(j.tasks) > 0 || !j.Cancelled && j.done < j.Tasks || j.Cancelled && !j.cancelKnown {
+		return
+	}
+	j.over = true
+	f := &final{storage.FinalRecord{ID: j.ID, Cancelled: j.Cancelled, Tasks: j.Tasks}}
+	now := e.n.now.Mono
+	e.store.Swap(now, j.blocks[0], f, w)
+	e.store.Touch(now, f, storage.OnCommit(func() {
+		e.finals[f.ID] = f
+		delete(e.jobs, f.ID)
+		if !f.Cancelled {
+			e.prerequisiteDone(f.ID)
+		}
+	}))
+	for bn := 1; bn < j.blockCount(); bn++ {
+		if b := j.blocks[bn]; b != nil {
+			e.store.Remove(now, b, nil)
+		}
+	}
+	e.order = slices.DeleteFunc(e.order, func(x *job) bool { return x == j })
+	e.schedule = true
+}
+
+// failed notes a task's error: a machine where different jobs fail is set
+// aside; a job that fails on different machines is retried ever more slowly.
+func (e *engine) failed(j *job, h *host) {
+	e.n.Stats.Failed++
+	now := e.n.now.Mono
+	j.failures++
+	j.failedOn[h.name] = true
+	wait := e.rules.report / 4 << min(j.failures-1, 6)
+	j.retryAt = now + min(wait, 2*e.rules.lease)
+	if len(j.failedOn) >= 3 {
+		// It fails wherever it goes: nothing is said against the machines.
+		for _, x := range e.byName {
+			delete(x.failedJobs, j.ID)
+			x.cordoned = x.cordoned && len(x.failedJobs) >= 2
+		}
+		return
+	}
+	h.failedJobs[j.ID] = true
+	h.pauseUntil = max(h.pauseUntil, now+e.rules.lease)
+	if len(h.failedJobs) >= 2 && !h.cordoned {
+		h.cordoned = true
+		e.n.log(Info, "machine cordoned", "host", h.name, "why", "tasks of different jobs fail there", "jobs", len(h.failedJobs))
+	}
+}
+
+// stop tells a task to end; a gang's tasks are told together.
+func (e *engine) stop(t *task, grace float64) {
+	if t.stopping && (grace >= t.grace || t.grace == 0) {
+		return
+	}
+	if !t.stopping {
+		t.host.leaving = t.host.leaving.plus(t.job.need)
+		t.job.team.leaving = t.job.team.leaving.plus(t.job.need)
+	}
+	t.stopping, t.grace = true, grace
+	t.stopAt = e.n.now.Mono
+	if t.sentToken == 0 && !t.inherited {
+		if t.committed {
+			e.drop(t) // otherwise started does it
+		}
+		return
+	}
+	e.wake(t.host)
+}
+
+// preemptTask stops a task so that it saves what it can; of a gang, every task.
+func (e *engine) preemptTask(t *task, why string) {
+	j := t.job
+	if j.tasks[t.index] != t {
+		return // gone already, with the gang that it was of
+	}
+	grace := 0.0
+	if j.saves() {
+		grace = j.SaveTime + 0.5
+	}
+	e.n.log(Debug, "task stopped", "job", j.ID, "task", t.index, "host", t.host.name, "why", why)
+	if j.Shape != protocol.Gang {
+		e.stop(t, grace)
+		return
+	}
+	j.gangEnding = true
+	for _, m := range e.sorted(j) {
+		e.stop(m, grace)
+	}
+}
--- /dev/null
+++ b/internal/coordination/team.go
@@ -0,0 +1,19 @@
+package coordination
+
+import "oakpick/internal/config"
+
+// team is a team's use and limits.
+type team struct {
+	config.Team
+	used    need
+	leaving need // of that, what stopping tasks are about to leave
+	owed    need // of that, what the present pass has promised to jobs that wait for it
+	// As of the last pass: what work that ends takes, and what waits of it.
+	ends, endsWait need
+}
+
+// allows tells whether so much more stays within the limit.
+func (t *team) allows(n need) bool {
+	return (t.CPUsMax == 0 || t.used.cpus+n.cpus <= t.CPUsMax+slack) &&
+		(t.GPUsMax == 0 || t.used.gpus+n.gpus <= t.GPUsMax+slack)
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"oakpick/internal/bookkeeping"
 	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
 )
 
 // LeaderKey is the key whose version is the term and the workers' token.
@@ -135,7 +135,7 @@
 	t, now := &n.term, n.now.Mono
 	if t.own != 0 && now >= t.renewAt {
 		t.renewAt = now + n.rules.renew
-		n.state(forRenew, StateCall{Op: bookkeeping.StateRenew, Lease: t.lease})
+		n.state(forRenew, StateCall{Op: storage.StateRenew, Lease: t.lease})
 	}
 	if t.own != 0 {
 		n.askIdle()
@@ -157,7 +157,7 @@
 	}
 	if !t.looking && now >= t.lookAt {
 		t.looking = true
-		n.state(forLook, StateCall{Op: bookkeeping.StateGet, Key: LeaderKey})
+		n.state(forLook, StateCall{Op: storage.StateGet, Key: LeaderKey})
 	}
 }
 
@@ -192,10 +192,16 @@
 // giveUp ends the term by this node's own choice, so that another can take it
 // at once.
 func (n *Node) giveUp(why string) {
+	n.restartTerm(why)
+	n.term.backOff = n.now.Mono + n.rules.backOff
+}
+
+// restartTerm ends the term so that a new one can begin at once, on this node or
+// another.
+func (n *Node) restartTerm(why string) {
 	lease := n.term.lease
 	n.stepDown(why)
-	n.term.backOff = n.now.Mono + n.rules.backOff
-	n.state(forRevoke, StateCall{Op: bookkeeping.StateRevoke, Lease: lease})
+	n.state(forRevoke, StateCall{Op: storage.StateRevoke, Lease: lease})
 }
 
 func (n *Node) stateResult(r StateResult) {
@@ -284,7 +290,7 @@
 		return
 	}
 	t.acquire = nil
-	n.state(forGrant, StateCall{Op: bookkeeping.StateGrant, TTL: n.rules.ttl})
+	n.state(forGrant, StateCall{Op: storage.StateGrant, TTL: n.rules.ttl})
 }
 
 func (n *Node) granted(r StateResult, p pending) {
@@ -304,7 +310,7 @@
 
 func (n *Node) sendAcquire() {
 	n.term.looking = true
-	n.state(forAcquire, StateCall{Op: bookkeeping.StateTxn, Txn: *n.term.acquire})
+	n.state(forAcquire, StateCall{Op: storage.StateTxn, Txn: *n.term.acquire})
 }
 
 func (n *Node) acquiredResult(r StateResult) {
@@ -338,7 +344,7 @@
 	t.loading = &loader{}
 	n.Stats.Terms++
 	n.log(Info, "term taken", "term", version)
-	n.state(forBarrier, StateCall{Op: bookkeeping.StateTxn, Txn: protocol.Txn{If: []protocol.Condition{{Key: LeaderKey, Version: version}}}})
+	n.state(forBarrier, StateCall{Op: storage.StateTxn, Txn: protocol.Txn{If: []protocol.Condition{{Key: LeaderKey, Version: version}}}})
 }
 
 func (n *Node) loadResult(why purpose, r StateResult) {
@@ -353,10 +359,10 @@
 			after = l.entries[len(l.entries)-1].Key
 		}
 		if !l.barrier {
-			n.state(forBarrier, StateCall{Op: bookkeeping.StateTxn, Txn: protocol.Txn{If: []protocol.Condition{{Key: LeaderKey, Version: t.own}}}})
+			n.state(forBarrier, StateCall{Op: storage.StateTxn, Txn: protocol.Txn{If: []protocol.Condition{{Key: LeaderKey, Version: t.own}}}})
 			return
 		}
-		n.state(forPages, StateCall{Op: bookkeeping.StateList, Key: bookkeeping.Root, After: after})
+		n.state(forPages, StateCall{Op: storage.StateList, Key: storage.Root, After: after})
 	}
 	switch {
 	case r.Outcome == Conflict:
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,242 @@
+package coordination
+
+import (
+	"maps"
+	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
+	"slices"
+)
+
+func (e *engine) user(c UserCall) {
+	switch c.Kind {
+	case Submit:
+		e.submit(c)
+	case Poll:
+		e.n.Stats.Polled++
+		e.poll(c)
+	case Cancel:
+		e.cancel(c)
+	}
+}
+
+func (e *engine) reply(id uint64, status int, body []byte) {
+	delete(e.asking, id)
+	e.n.emit(Reply{ID: id, Status: status, Body: body})
+}
+
+func (e *engine) answerJob(id uint64, status int, j *job, counts bool) {
+	if j.Cancelled && j.cancelKnown && !e.mayTell(j) {
+		// Another leader may have told it already: nothing else may be said either.
+		delete(e.asking, id)
+		e.n.refuse(id, "its tasks can't be stopped yet")
+		return
+	}
+	a := protocol.JobAnswer{ID: j.ID, Status: protocol.StatusQueued}
+	running := 0
+	for _, t := range j.tasks {
+		if t.seen && (t.state == protocol.Running || t.state == protocol.Saving) {
+			running++
+		}
+	}
+	switch {
+	case j.Cancelled && j.cancelKnown:
+		a.Status, running = protocol.StatusCancelled, 0
+	case running > 0:
+		a.Status = protocol.StatusRunning
+	}
+	if counts {
+		a.Done, a.Running = &j.done, &running
+	}
+	e.reply(id, status, protocol.Encode(a))
+}
+
+func (e *engine) answerFinal(id uint64, f *final, counts bool) {
+	a := protocol.JobAnswer{ID: f.ID, Status: protocol.StatusDone}
+	done, running := f.Tasks, 0
+	if f.Cancelled {
+		a.Status, done = protocol.StatusCancelled, 0
+	}
+	if counts {
+		a.Done, a.Running = &done, &running
+	}
+	e.reply(id, 200, protocol.Encode(a))
+}
+
+func (e *engine) submit(c UserCall) {
+	s := c.Submit
+	if f := e.finals[s.ID]; f != nil {
+		e.answerFinal(c.ID, f, false)
+		return
+	}
+	if j := e.jobs[s.ID]; j != nil {
+		if j.over {
+			e.n.refuse(c.ID, "not settled yet")
+			return
+		}
+		if j.committed {
+			e.answerJob(c.ID, 200, j, false)
+			return
+		}
+		e.asking[c.ID] = true
+		e.store.Touch(e.n.now.Mono, j.blocks[0], storage.OnCommit(func() { e.answerJob(c.ID, 200, j, false) }))
+		return
+	}
+	if e.behind() {
+		e.n.refuse(c.ID, "too much to be written")
+		return
+	}
+	if len(e.fleet.types) == 0 {
+		e.n.refuse(c.ID, "machine types not known yet")
+		return
+	}
+	if why := e.impossible(s); why != "" {
+		e.reply(c.ID, 422, protocol.EncodeError(why))
+		return
+	}
+	switch status, why := e.refusedPrerequisite(s); status {
+	case 0:
+		e.accept(c)
+	case 503:
+		e.n.refuse(c.ID, why)
+	default:
+		e.reply(c.ID, status, protocol.EncodeError(why))
+	}
+}
+
+// accept takes a new job in. Its user is told once that is durable.
+func (e *engine) accept(c UserCall) {
+	e.n.Stats.Submitted++
+	j := e.newJob(storage.NewJobRecord(c.Submit, e.n.now.WallMs))
+	j.prerequisites = c.Submit.Prerequisites
+	cancelled := e.linkPrerequisites(j)
+	switch {
+	case cancelled:
+		j.Cancelled, j.cancelledAt = true, e.n.now.Mono
+	case !j.waits():
+		e.arrived(j)
+		e.schedule = true
+	}
+	e.asking[c.ID] = true
+	e.store.Touch(e.n.now.Mono, j.blocks[0], storage.OnCommit(func() {
+		j.committed = true
+		j.cancelKnown = j.cancelKnown || cancelled
+		e.answerJob(c.ID, 201, j, false)
+		e.settle(j, nil)
+	}))
+}
+
+// behind tells whether a new record could not be committed while its user waits.
+func (e *engine) behind() bool {
+	pages, _ := e.store.Backlog(e.n.now.Mono)
+	return float64(pages) > e.n.cfg.Settings.State.Smallest().WriteRPS*e.opt.WriteShare*protocol.SubmitWaitS/2
+}
+
+// refuseAsking answers at once whoever waits for a commit that isn't to be
+// expected: what was asked may be durable all the same, and is found so when the
+// user comes back.
+func (e *engine) refuseAsking() {
+	for _, id := range slices.Sorted(maps.Keys(e.asking)) {
+		e.n.refuse(id, "the state service does not answer")
+	}
+	clear(e.asking)
+}
+
+// impossible says why a job can never run, or nothing.
+func (e *engine) impossible(s *protocol.Submission) string {
+	t := e.teams[s.Team]
+	if t == nil {
+		return "unknown team"
+	}
+	n := need{s.CPUs, s.GPUs, s.MemoryGB}
+	fits := false
+	for _, mt := range e.fleet.types {
+		if s.Types != nil && !slices.Contains(s.Types, mt.Name) || s.Zone != "" && !slices.Contains(mt.Zones, s.Zone) {
+			continue
+		}
+		fits = fits || n.fits(need{mt.CPUs, mt.GPUs, mt.MemoryGB})
+	}
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	whole := n
+	if s.Shape != protocol.Array {
+		whole = n.times(float64(s.Tasks))
+		if s.Spread && s.Tasks > 1 && (s.OneZone || s.Zone != "") {
+			return "cannot be both in one zone and spread"
+		}
+	}
+	if t.CPUsMax > 0 && whole.cpus > t.CPUsMax+slack || t.GPUsMax > 0 && whole.gpus > t.GPUsMax+slack {
+		return "needs more than the team's limit"
+	}
+	probe := &job{e: e, JobRecord: storage.NewJobRecord(s, e.n.now.WallMs), prerequisites: s.Prerequisites, blockTasks: e.rules.blockTasks, recordBlocks: true}
+	starts := 1 // at a time, of an array or a service: the others can wait
+	if s.Shape == protocol.Gang {
+		starts = probe.blockLen(0)
+	}
+	if (&block{job: probe}).baseSize()+starts*storage.StartReserve > e.store.MaxItem() {
+		return "its description and its prerequisites are too long to be kept"
+	}
+	return ""
+}
+
+func (e *engine) poll(c UserCall) {
+	if f := e.finals[c.Job]; f != nil {
+		e.answerFinal(c.ID, f, true)
+	} else if j := e.jobs[c.Job]; j == nil {
+		e.reply(c.ID, 404, protocol.EncodeError("no such job"))
+	} else if !j.committed || j.over {
+		e.n.refuse(c.ID, "not settled yet")
+	} else {
+		e.answerJob(c.ID, 200, j, true)
+	}
+}
+
+func (e *engine) cancel(c UserCall) {
+	if f := e.finals[c.Job]; f != nil {
+		e.answerFinal(c.ID, f, false)
+		return
+	}
+	j := e.jobs[c.Job]
+	if j == nil {
+		e.reply(c.ID, 404, protocol.EncodeError("no such job"))
+		return
+	}
+	if j.over { // all its tasks are done; the record of that is under way
+		e.n.refuse(c.ID, "not settled yet")
+		return
+	}
+	if j.Cancelled && j.cancelKnown {
+		e.answerJob(c.ID, 200, j, false)
+		return
+	}
+	if !j.Cancelled {
+		e.n.Stats.Cancelled++
+		j.Cancelled, j.cancelledAt = true, e.n.now.Mono
+	}
+	e.asking[c.ID] = true
+	// Durable first, then answered, and only then are its tasks stopped: a
+	// cancellation that was never told must not have cost the job its tasks.
+	e.store.Touch(e.n.now.Mono, j.blocks[0], storage.OnCommit(func() {
+		j.committed = true
+		if !j.cancelKnown {
+			j.cancelKnown, j.cancelledAt = true, e.n.now.Mono
+			e.stopAll(j)
+			e.cancelDependents(j.ID)
+		}
+		e.answerJob(c.ID, 200, j, false)
+		e.settle(j, nil)
+	}))
+}
+
+// stopAll stops what a cancelled job has on machines. A start that was never
+// sent is simply withdrawn.
+func (e *engine) stopAll(j *job) {
+	for _, t := range e.sorted(j) {
+		if t.sentToken == 0 && !t.inherited {
+			e.drop(t)
+			continue
+		}
+		e.stop(t, 0)
+	}
+	e.schedule = true
+}
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -11,9 +11,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"oakpick/internal/bookkeeping"
 	"oakpick/internal/coordination"
 	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
 	"oakpick/internal/transport"
 )
 
@@ -53,7 +53,7 @@
 	}
 }
 
-func (m *metrics) state(op bookkeeping.StateOp, d time.Duration) {
+func (m *metrics) state(op storage.StateOp, d time.Duration) {
 	m.add([...]string{"state_get", "state_list", "state_write", "state_grant", "state_renew", "state_revoke"}[op], d)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,9 +18,9 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"oakpick/internal/bookkeeping"
 	"oakpick/internal/config"
 	"oakpick/internal/coordination"
+	"oakpick/internal/storage"
 	"oakpick/internal/transport"
 )
 
@@ -47,7 +47,7 @@
 	healthy atomic.Bool
 	metrics *metrics
 
-	state   *bookkeeping.Client
+	state   *storage.Client
 	workers *transport.Workers
 	cloud   *transport.Cloud
 	peers   *transport.Peers
@@ -85,7 +85,7 @@
 		node:    coordination.New(cfg, hex.EncodeToString(seed[:8]), binary.LittleEndian.Uint64(seed[8:])),
 		metrics: newMetrics(),
 		queue:   make(chan item, 4*batch), waits: map[uint64]waiter{},
-		state: bookkeeping.NewClient(cfg.Services.State, report/2, coordination.TermLease(s.Workers)/2),
+		state: storage.NewClient(cfg.Services.State, report/2, coordination.TermLease(s.Workers)/2),
 		cloud: transport.NewCloud(cfg.Services.Cloud, s.Workers),
 		peers: transport.NewPeers(cfg.Node, cfg.Peers, s.Workers),
 	}
@@ -237,7 +237,7 @@
 			w.reply <- r
 			return nil
 		})
-	case bookkeeping.StateCall:
+	case storage.StateCall:
 		d.group.Go(func() error {
 			began := time.Now()
 			d.push(d.state.Do(e))
--- /dev/null
+++ b/internal/fake/pipelines.go
@@ -0,0 +1,74 @@
+package fake
+
+import (
+	"slices"
+	"time"
+
+	"oakpick/internal/protocol"
+)
+
+// prerequisites are the jobs that a job names.
+func (w *World) prerequisites(j *Job) []*Job {
+	var out []*Job
+	for _, id := range j.Sub.Prerequisites {
+		if p := w.Jobs[id]; p != nil {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// ancestors are all jobs that a job needs, directly or through others.
+func (w *World) ancestors(j *Job) []*Job {
+	all := w.prerequisites(j)
+	for i := 0; i < len(all); i++ {
+		for _, p := range w.prerequisites(all[i]) {
+			if !slices.Contains(all, p) {
+				all = append(all, p)
+			}
+		}
+	}
+	return all
+}
+
+// calledOff tells whether a user has asked to cancel a job that this one needs.
+func (w *World) calledOff(j *Job) bool {
+	return slices.ContainsFunc(w.ancestors(j), func(p *Job) bool { return p.Cancel })
+}
+
+// CancelledWith tells whether a user was told that a job that this one needs is
+// cancelled, so that this one is cancelled, too.
+func (w *World) CancelledWith(j *Job) bool {
+	return slices.ContainsFunc(w.ancestors(j), func(p *Job) bool { return p.Cancelled })
+}
+
+// checkPipeline checks what a user hears of a job against what was said of the jobs
+// that it needs, and of those that need it.
+func (w *World) checkPipeline(j *Job, status string, asked time.Duration) {
+	ancestors := w.ancestors(j)
+	if status == protocol.StatusQueued || status == protocol.StatusRunning {
+		for _, p := range ancestors {
+			if p.Cancelled && asked > p.CancelAt+sec(w.Cfg.Settings.Workers.Cancel) {
+				w.fail("orphaned", "%s is called %s, and %s is cancelled", j.Sub.ID, status, p.Sub.ID)
+			}
+			// Stricter than the rule: a job that waits has nothing to be stopped.
+			if p.Cancelled && asked > p.CancelAt {
+				w.fail("orphaned", "%s is called %s after its user was told that %s is cancelled", j.Sub.ID, status, p.Sub.ID)
+			}
+		}
+	}
+	for _, id := range w.jobNames {
+		d := w.Jobs[id]
+		needs := w.ancestors(d)
+		if !slices.Contains(needs, j) {
+			continue
+		}
+		if status == protocol.StatusCancelled && d.Began {
+			w.fail("went_back", "%s is called cancelled, and %s, which needs it, has begun", j.Sub.ID, id)
+		}
+		other := d.Cancel || slices.ContainsFunc(needs, func(p *Job) bool { return p != j && p.Cancel })
+		if status == protocol.StatusDone && d.Told == protocol.StatusCancelled && !other {
+			w.fail("went_back", "%s is done, and %s was called cancelled with it", j.Sub.ID, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fake/versions.go
@@ -0,0 +1,22 @@
+package fake
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"oakpick/internal/protocol"
+)
+
+// asProduction is a transaction as the version in production would have written it:
+// of each value, only what that version knows.
+func (w *World) asProduction(txn protocol.Txn) protocol.Txn {
+	if w.Production == nil {
+		return txn
+	}
+	changes := make([]protocol.Change, len(txn.Then))
+	for i, c := range txn.Then {
+		c.Value = msgpack.RawMessage(w.Production(c.Put, protocol.Encode(c.Value)))
+		changes[i] = c
+	}
+	txn.Then = changes
+	return txn
+}
--- a/internal/protocol/decode.go
+++ b/internal/protocol/decode.go
@@ -114,6 +114,8 @@
 	SaveEach float64
 	SaveTime float64
 	Deadline float64 // 0: none
+	// Prerequisites are jobs that have to be done before any task may start.
+	Prerequisites []string
 }
 
 type wireSubmission struct {
@@ -137,6 +139,7 @@
 	Savepoint *float64  `msgpack:"savepoint_s"`
 	Saving    *float64  `msgpack:"saving_s"`
 	Due       *float64  `msgpack:"due_s"`
+	Prereqs   *[]string `msgpack:"prereqs"`
 }
 
 const (
@@ -227,9 +230,32 @@
 			return nil, bad
 		}
 	}
+	if w.Prereqs != nil {
+		var err error
+		if s.Prerequisites, err = prerequisites(*w.Prereqs); err != nil {
+			return nil, err
+		}
+	}
 	return s, nil
 }
 
+// prerequisites checks the jobs that a submission names. The same one named twice
+// counts once.
+func prerequisites(ids []string) ([]string, error) {
+	var unique []string
+	seen := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		if !ValidJobID(id) {
+			return nil, malformed("prereqs: not a job id")
+		}
+		if !seen[id] {
+			seen[id] = true
+			unique = append(unique, id)
+		}
+	}
+	return unique, nil
+}
+
 // ValidJobID tells whether an id has the form that users' ids always have.
 func ValidJobID(id string) bool {
 	rest, ok := strings.CutPrefix(id, "wk-")
--- a/internal/bookkeeping/client.go
+++ b/internal/storage/client.go
@@ -1,4 +1,4 @@
-package bookkeeping
+package storage
 
 import (
 	"errors"
--- /dev/null
+++ b/internal/storage/read.go
@@ -0,0 +1,106 @@
+package storage
+
+import (
+	"fmt"
+	"slices"
+
+	"oakpick/internal/protocol"
+)
+
+// LoadedPage is a page as it was read.
+type LoadedPage struct {
+	Number  int
+	Version int64
+	Value   PageValue
+	// Stale tells that records were left out of Value because a newer copy of them,
+	// or the end of their job, is on another page.
+	Stale bool
+}
+
+// ReadPages decodes pages. While a page is being split, a record may be on two of
+// them: the copy on the page that was written last counts. The end of a job counts
+// more than any record of it that is not over.
+func ReadPages(entries []protocol.Entry) ([]LoadedPage, error) {
+	var pages []LoadedPage
+	for _, entry := range entries {
+		number, ok := PageNumber(entry.Key)
+		if !ok {
+			continue
+		}
+		p := LoadedPage{Number: number, Version: entry.Version}
+		if err := protocol.Decode(entry.Value, &p.Value); err != nil {
+			return nil, fmt.Errorf("%s: %w", entry.Key, err)
+		}
+		pages = append(pages, p)
+	}
+	latest := newestCopies(pages)
+	for i := range pages {
+		latest.dropStale(&pages[i])
+	}
+	return pages, nil
+}
+
+// recordKey tells records of one page apart, and finds their copies on others.
+type recordKey struct {
+	kind  string
+	name  string
+	block int
+}
+
+func jobKey(r JobRecord) recordKey          { return recordKey{"job", r.ID, 0} }
+func extensionKey(r JobExtension) recordKey { return recordKey{"extension", r.Job, 0} }
+func blockKey(r BlockRecord) recordKey      { return recordKey{"block", r.Job, r.Block} }
+func finalKey(r FinalRecord) recordKey      { return recordKey{"final", r.ID, 0} }
+func rentalKey(r RentalRecord) recordKey    { return recordKey{"rental", r.Request, 0} }
+
+// copies knows the version of the page that has the newest copy of each record.
+type copies map[recordKey]int64
+
+func newestCopies(pages []LoadedPage) copies {
+	c := copies{}
+	for _, p := range pages {
+		note := func(k recordKey) { c[k] = max(c[k], p.Version) }
+		for _, r := range p.Value.Jobs {
+			note(jobKey(r))
+		}
+		for _, r := range p.Value.Extensions {
+			note(extensionKey(r))
+		}
+		for _, r := range p.Value.Blocks {
+			note(blockKey(r))
+		}
+		for _, r := range p.Value.Finals {
+			note(finalKey(r))
+		}
+		for _, r := range p.Value.Rentals {
+			note(rentalKey(r))
+		}
+		if p.Value.Options != "" {
+			note(optionsKey)
+		}
+	}
+	return c
+}
+
+var optionsKey = recordKey{kind: "options"}
+
+func (c copies) dropStale(p *LoadedPage) {
+	v := &p.Value
+	over := func(job string) bool { return c[recordKey{"final", job, 0}] > 0 }
+	v.Jobs = keep(p, v.Jobs, func(r JobRecord) bool { return c[jobKey(r)] == p.Version && !over(r.ID) })
+	v.Extensions = keep(p, v.Extensions, func(r JobExtension) bool { return c[extensionKey(r)] == p.Version && !over(r.Job) })
+	v.Blocks = keep(p, v.Blocks, func(r BlockRecord) bool { return c[blockKey(r)] == p.Version })
+	v.Finals = keep(p, v.Finals, func(r FinalRecord) bool { return c[finalKey(r)] == p.Version })
+	v.Rentals = keep(p, v.Rentals, func(r RentalRecord) bool { return c[rentalKey(r)] == p.Version })
+	if v.Options != "" && c[optionsKey] != p.Version {
+		v.Options, p.Stale = "", true
+	}
+}
+
+// keep leaves out what is stale, and notes that on the page.
+func keep[T any](p *LoadedPage, records []T, current func(T) bool) []T {
+	before := len(records)
+	records = slices.DeleteFunc(records, func(r T) bool { return !current(r) })
+	p.Stale = p.Stale || len(records) < before
+	return records
+}
--- a/internal/bookkeeping/facts.go
+++ b/internal/storage/records.go
@@ -1,7 +1,11 @@
-// Package bookkeeping keeps the facts that cannot be recomputed: their records,
-// how they are packed into versioned pages of the state service, the write
-// budget, and the client that carries them there.
-package bookkeeping
+// Package storage keeps what cannot be recomputed: its records, how they are
+// packed into versioned pages of the state service, the write budget, and the
+// client that carries them there.
+//
+// The records are read by every version that may run beside this one. Their types
+// only change by optional fields of PageValue that are absent while unused; the
+// order of a record's fields and the names in tags are part of the format.
+package storage
 
 import (
 	"encoding/hex"
@@ -92,6 +96,18 @@
 	AtMs                int64
 }
 
+// JobExtension is what is recorded of a job beside its JobRecord. Versions that
+// don't know it ignore it, and drop it when they write the page.
+type JobExtension struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+
+	Job string
+	// BlockTasks is how many tasks a block of the job has; 0: as many as follow
+	// from the settings' value_kb (see BlockTasks).
+	BlockTasks    int
+	Prerequisites []string
+}
+
 // PageValue is what a page's key holds.
 type PageValue struct {
 	ID      string         `msgpack:"id"` // of the write that made it
@@ -100,6 +116,8 @@
 	Finals  []FinalRecord  `msgpack:"f,omitempty"`
 	Rentals []RentalRecord `msgpack:"r,omitempty"`
 	Options string         `msgpack:"o,omitempty"` // what operators have changed, as JSON
+
+	Extensions []JobExtension `msgpack:"x,omitempty"`
 }
 
 // NewJobRecord describes a submission.
@@ -111,53 +129,3 @@
 		Estimate: s.Estimate, SaveEach: s.SaveEach, SaveTime: s.SaveTime, Deadline: s.Deadline, SubmittedMs: submittedMs,
 	}
 }
-
-// Sizes of records in JSON, never less than the true ones: what is reserved on
-// a page when a record is put there, so that no page outgrows its limit later.
-const (
-	numberSize = 22 // any integer or float
-	hostSize   = 40 // a machine's name
-	startSize  = 3*12 + hostSize + 6
-	pageSize   = 128 // the page's own braces, names and write id
-
-	// OptionsReserve is the space of the operators' settings, quotes escaped.
-	OptionsReserve = 512
-)
-
-func textSize(s string) int {
-	n := 3
-	for _, c := range []byte(s) {
-		if c < 0x20 || c > 0x7e || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
-			n += 6
-		} else {
-			n++
-		}
-	}
-	return n
-}
-
-// Reserve is the space a job's description may take.
-func (r *JobRecord) Reserve(blocks int) int {
-	n := 13*8 + 9*numberSize + blocks/4 + 8
-	for _, s := range append([]string{r.ID, r.Class, r.Team, r.Image, r.Zone}, r.Types...) {
-		n += textSize(s)
-	}
-	return n
-}
-
-// BlockReserve is the space that a block of so many tasks may take.
-func BlockReserve(job string, tasks int) int {
-	return textSize(job) + 2*numberSize + tasks/4 + 16 + tasks*startSize
-}
-
-// Reserve is the space of a finished job.
-func (r *FinalRecord) Reserve() int { return textSize(r.ID) + 6 + 7 + 4 }
-
-// Reserve is the space of a rental.
-func (r *RentalRecord) Reserve() int {
-	return textSize(r.Request) + textSize(r.Type) + textSize(r.Zone) + 3*numberSize + 16 + r.Count*hostSize
-}
-
-// BlockTasks is how many tasks a block holds: as many as let it fill at most
-// half a page.
-func BlockTasks(valueBytes int) int { return max(4, min(64, valueBytes/2/startSize)) }
--- /dev/null
+++ b/internal/storage/size.go
@@ -0,0 +1,105 @@
+package storage
+
+import "strconv"
+
+// Sizes of records in JSON, which is how the state service counts, never less than
+// the true ones.
+const (
+	intSize  = 21 // any integer, and the comma behind it
+	boolSize = 6
+	hostSize = 40  // a machine's name, at most
+	pageSize = 128 // the page's own braces, names and write id
+
+	// StartReserve is what a start is expected to take: a task and an attempt, a
+	// machine's name, a session.
+	StartReserve = 46
+
+	// OptionsReserve is the space of the operators' settings, quotes escaped.
+	OptionsReserve = 512
+)
+
+// textSize is the size of a string, its quotes and the comma behind it.
+func textSize(s string) int {
+	n := 3
+	for _, c := range []byte(s) {
+		if c < 0x20 || c > 0x7e || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
+			n += 6
+		} else {
+			n++
+		}
+	}
+	return n
+}
+
+func textSizes(texts ...string) int {
+	n := 0
+	for _, s := range texts {
+		n += textSize(s)
+	}
+	return n
+}
+
+// floatSize is the size of an amount, written with or without an exponent.
+func floatSize(f float64) int {
+	const point = 2 // whole numbers may be written as 8.0
+	return min(24, len(strconv.FormatFloat(f, 'f', -1, 64))+point+1)
+}
+
+func integerSize(i int64) int { return len(strconv.FormatInt(i, 10)) + 1 }
+
+// bitsSize is the size of a set of so many bits.
+func bitsSize(bits int) int { return bits/4 + 8 }
+
+// Reserve is the space a job's description may take.
+func (r *JobRecord) Reserve(blocks int) int {
+	const brackets, bools, words, integers = 4, 5, 2, 3 // the words are the shape and the priority
+	n := brackets + bools*boolSize + words*2 + integers*intSize + bitsSize(blocks)
+	for _, f := range []float64{r.CPUs, r.GPUs, r.MemoryGB, r.ImageGB, r.Estimate, r.SaveEach, r.SaveTime, r.Deadline} {
+		n += floatSize(f)
+	}
+	return n + textSizes(r.ID, r.Class, r.Team, r.Image, r.Zone) + textSizes(r.Types...)
+}
+
+// Size is the space a job's extension takes.
+func (r *JobExtension) Size() int {
+	const brackets = 6
+	return brackets + textSize(r.Job) + integerSize(int64(r.BlockTasks)) + textSizes(r.Prerequisites...)
+}
+
+// Size is the space that a start takes.
+func (r *StartRecord) Size() int {
+	const brackets = 3
+	return brackets + integerSize(int64(r.Task)) + integerSize(r.Try) + textSize(r.Host) + integerSize(r.Session)
+}
+
+// BlockSize is the space that a block of so many tasks takes without its starts.
+func BlockSize(job string, tasks int) int {
+	const brackets = 6
+	return brackets + textSize(job) + 2*intSize + bitsSize(tasks)
+}
+
+// BlockReserve is the space that a block of so many tasks may take.
+func BlockReserve(job string, tasks int) int { return BlockSize(job, tasks) + tasks*StartReserve }
+
+// Reserve is the space of a finished job.
+func (r *FinalRecord) Reserve() int {
+	const brackets = 3
+	return brackets + textSize(r.ID) + boolSize + integerSize(int64(r.Tasks))
+}
+
+// Size is the space that a rental takes as it is.
+func (r *RentalRecord) Size() int {
+	const brackets = 5
+	return brackets + textSizes(r.Request, r.Type, r.Zone) + 2*boolSize + 2*intSize + textSizes(r.Hosts...)
+}
+
+// Reserve is the space of a rental and its answer.
+func (r *RentalRecord) Reserve() int { return max(r.Size(), r.Size()+(r.Count-len(r.Hosts))*hostSize) }
+
+// recordedStart is the size by which blocks are cut. It is part of the format: jobs
+// of earlier versions have their blocks cut by it.
+const recordedStart = 82
+
+// BlockTasks is how many tasks a block holds: as many as let it fill at most
+// half a page.
+func BlockTasks(pageBytes int) int { return max(4, min(64, pageBytes/2/recordedStart)) }
--- /dev/null
+++ b/internal/storage/split.go
@@ -0,0 +1,92 @@
+package storage
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A page may be larger than the limits allow, because it was written under larger
+// ones. It is divided before it is written again.
+//
+// As a rule one transaction writes the page and the new pages that take items from
+// it, so that every record is on exactly one page at any time. If the page has more
+// than that transaction can move, it is written with the rest, which is smaller than
+// before but still too large for the limits to come. If those are in force by then,
+// the state service refuses that, and the items are copied first: the page is only
+// compared, and is written without them as soon as its rest fits. Until then a record
+// may be on two pages; the one with the higher version counts (see Latest).
+
+// split moves items off a page that is too large, and makes w the transaction for it.
+func (s *Store) split(now time.Duration, p *page, w *Write) {
+	most := max(1, s.limits.ChangesPerTxn-1) // the page itself takes a change
+	var fresh []*page
+	for len(fresh) < most && p.size() > s.limits.PageBytes && len(p.items) > 1 {
+		fresh = append(fresh, s.moveSome(p))
+	}
+	fits := p.size() <= s.limits.PageBytes
+	if alone := s.limits.ChangesPerTxn == 1; alone || !fits && s.lowered {
+		// The page stays dirty, and has its turn once the copies are committed.
+		w.pages, w.guard = fresh, p
+		return
+	}
+	w.pages, w.Oversize = append([]*page{p}, fresh...), !fits
+}
+
+// tooLarge tells whether a page can't be written at all: a single item that grew
+// under larger limits than are in force.
+func (s *Store) tooLarge(p *page) bool {
+	return s.lowered && len(p.items) == 1 && p.size() > s.limits.PageBytes
+}
+
+// moveSome fills a new page with items of another, last ones first. The waits stay
+// with the old page: it is written by the same transaction or a later one.
+func (s *Store) moveSome(p *page) *page {
+	fresh := s.newPage()
+	for i := len(p.items) - 1; i >= 0 && p.size() > s.limits.PageBytes; i-- {
+		item := p.items[i]
+		if len(fresh.items) > 0 && fresh.reserved+s.reserve(item) > s.limits.PageBytes {
+			continue
+		}
+		p.items = slices.Delete(p.items, i, i+1)
+		p.reserved -= s.reserve(item)
+		s.put(fresh, item)
+		if len(p.items) == 1 {
+			break
+		}
+	}
+	return fresh
+}
+
+// splitAhead marks one page that is too large to be written again, the one that
+// was written longest ago first, when nothing else waits: large pages should be
+// gone before lower limits come.
+func (s *Store) splitAhead(now time.Duration) {
+	if !s.sorted {
+		s.sorted = true
+		s.unchecked = slices.Clone(s.pages)
+		slices.SortFunc(s.unchecked, func(a, b *page) int { return cmp.Compare(a.version, b.version) })
+	}
+	if len(s.unchecked) == 0 || len(s.dirty) > 0 || len(s.writes) > 0 || s.budget.TokensAt(at(now)) < float64(s.budget.Burst())/2 {
+		return
+	}
+	for len(s.unchecked) > 0 {
+		p := s.unchecked[0]
+		if p.size() > s.limits.PageBytes && len(p.items) > 1 {
+			s.markDirty(now, p, nil)
+			return
+		}
+		s.unchecked = s.unchecked[1:]
+	}
+}
+
+// Unsplit is how many pages may still have to be split ahead of lower limits.
+func (s *Store) Unsplit() int {
+	n := 0
+	for _, p := range s.unchecked {
+		if p.size() > s.limits.PageBytes {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/storage/split_test.go
@@ -0,0 +1,225 @@
+package storage
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"oakpick/internal/protocol"
+)
+
+// keys is a state service's content, as far as pages go.
+type keys struct {
+	t       *testing.T
+	values  map[string][]byte
+	version map[string]int64
+	next    int64
+	limit   int // of a value
+	changes int // of a transaction
+}
+
+// apply carries a transaction out, if its conditions hold and it is within the limits.
+func (k *keys) apply(w *Write) Outcome {
+	for _, c := range w.Txn.Then {
+		if sizeInJSON(k.t, c.Value) > k.limit || len(w.Txn.Then) > k.changes {
+			return Invalid
+		}
+	}
+	for _, c := range w.Txn.If {
+		if c.Key != term.Key && k.version[c.Key] != c.Version {
+			return Conflict
+		}
+	}
+	k.next++
+	for _, c := range w.Txn.Then {
+		k.values[c.Put], k.version[c.Put] = protocol.Encode(c.Value), k.next
+	}
+	return OK
+}
+
+func (k *keys) entries() []protocol.Entry {
+	var out []protocol.Entry
+	for _, key := range slices.Sorted(maps.Keys(k.values)) {
+		out = append(out, protocol.Entry{Key: key, Value: k.values[key], Version: k.version[key]})
+	}
+	return out
+}
+
+// finals reads what a new leader finds, and fails if a record is there twice.
+func (k *keys) finals() map[string]int64 {
+	pages, err := ReadPages(k.entries())
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	out := map[string]int64{}
+	for _, p := range pages {
+		for _, f := range p.Value.Finals {
+			if _, ok := out[f.ID]; ok {
+				k.t.Fatalf("%s is on two pages, and both count", f.ID)
+			}
+			out[f.ID] = int64(f.Tasks)
+		}
+	}
+	return out
+}
+
+// record is an item whose records say how often it was changed.
+type record struct {
+	name    string
+	changed int
+}
+
+const recordBytes = 60
+
+func (r *record) Emit(v *PageValue) {
+	v.Finals = append(v.Finals, FinalRecord{ID: r.name, Tasks: r.changed})
+}
+func (r *record) Size() int    { return recordBytes }
+func (r *record) Reserve() int { return recordBytes }
+
+// load makes a store of what is stored, as a new leader does.
+func (k *keys) load(limits Limits, records map[string]*record) *Store {
+	s := NewStore(limits, fmt.Sprint("t", k.next), 100*time.Millisecond)
+	pages, err := ReadPages(k.entries())
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	for _, p := range pages {
+		s.Load(p.Number, p.Version)
+		if p.Stale {
+			s.LoadStale(0, p.Number)
+		}
+		for _, f := range p.Value.Finals {
+			records[f.ID] = &record{f.ID, f.Tasks}
+			s.Load(p.Number, p.Version, records[f.ID])
+		}
+	}
+	return s
+}
+
+// A page that was written under larger limits is divided, before the lower ones come
+// or after. The leader ends after every single write, and its successor finds every
+// record exactly once and none older than what was committed.
+func TestLargePageIsDividedAndEveryRecordIsKept(t *testing.T) {
+	const count = 120
+	for _, c := range []struct {
+		name        string
+		before      int // writes before the limits are lowered
+		changes     int
+		knowsLimits bool
+	}{{"never lowered", 1000, 4, false}, {"lowered first, unknown", 0, 4, false}, {"lowered first, known", 0, 4, true},
+		{"lowered half way", 1, 4, false}, {"one change a transaction", 1000, 1, false}, {"two changes, lowered", 0, 2, true}} {
+		for ends := range 14 { // after so many writes
+			k := &keys{t: t, values: map[string][]byte{}, version: map[string]int64{}, limit: 8 << 10, changes: 8}
+			old := NewStore(Limits{PageBytes(8), 8, 1000}, "old", time.Second)
+			want := map[string]int64{}
+			for i := range count {
+				r := &record{name: fmt.Sprintf("wk-%06d%s", i, strings.Repeat("0", 20))}
+				old.Touch(0, r, nil)
+				want[r.name] = 0
+			}
+			if w := old.Next(0, term, true); w == nil || k.apply(w) != OK || len(w.Txn.Then) != 1 {
+				t.Fatalf("%s: the old version's page: %+v", c.name, w)
+			}
+			limits := Limits{PageBytes(2), c.changes, 1000}
+			records := map[string]*record{}
+			s := k.load(limits, records)
+			known := c.knowsLimits
+			if known {
+				s.LimitsLowered()
+			}
+			written := 0
+			for i := range 60 {
+				now := time.Duration(i) * time.Second
+				if written == c.before {
+					k.limit, k.changes = 2<<10, max(1, c.changes)
+				}
+				changed := records[slices.Sorted(maps.Keys(records))[i*7%count]]
+				changed.changed++
+				committed := false
+				s.Touch(now, changed, OnCommit(func() { committed = true }))
+				for w := s.Next(now, term, true); w != nil; w = s.Next(now, term, true) {
+					if written == ends { // the leader ends, and the next one reads
+						records = map[string]*record{}
+						s = k.load(limits, records)
+						if known {
+							s.LimitsLowered()
+						}
+						written++
+						break
+					}
+					switch k.apply(w) {
+					case OK:
+						written++
+						s.Committed(w, k.next)
+					case Invalid:
+						if known {
+							t.Fatalf("%s: refused for its size again", c.name)
+						}
+						known = true
+						records = map[string]*record{}
+						s = k.load(limits, records) // a new term
+						s.LimitsLowered()
+					default:
+						t.Fatalf("%s: a conflict with nobody else there", c.name)
+					}
+					if committed {
+						want[changed.name] = int64(changed.changed)
+					}
+					got := k.finals()
+					for name, least := range want {
+						if is, ok := got[name]; !ok || is < least {
+							t.Fatalf("%s, ends after %d: %s is at %d (%t), committed was %d", c.name, ends, name, is, ok, least)
+						}
+					}
+				}
+			}
+			for key, value := range k.values {
+				var v any
+				if err := protocol.Decode(value, &v); err != nil {
+					t.Fatal(err)
+				}
+				if n := sizeInJSON(t, v); n > 2<<10 {
+					t.Errorf("%s, ends after %d: %s still takes %d bytes", c.name, ends, key, n)
+				}
+			}
+		}
+	}
+}
+
+// Large pages are divided ahead of the lower limits although nothing on them changes,
+// the one that was written longest ago first, and within the write budget.
+func TestLargePagesAreDividedAhead(t *testing.T) {
+	k := &keys{t: t, values: map[string][]byte{}, version: map[string]int64{}, limit: 8 << 10, changes: 8}
+	old := NewStore(Limits{PageBytes(8), 8, 1000}, "old", time.Second)
+	for i := range 600 {
+		old.Touch(0, &record{name: fmt.Sprintf("wk-%06d%s", i, strings.Repeat("0", 20))}, nil)
+	}
+	for w := old.Next(0, term, true); w != nil; w = old.Next(0, term, true) {
+		k.apply(w)
+		old.Committed(w, k.next)
+	}
+	s := k.load(Limits{PageBytes(2), 4, 10}, map[string]*record{})
+	changes, done := 0, time.Duration(0)
+	for now := time.Duration(0); now < time.Minute; now += 50 * time.Millisecond {
+		for w := s.Next(now, term, true); w != nil; w = s.Next(now, term, true) {
+			if k.apply(w) != OK {
+				t.Fatal("not taken")
+			}
+			changes += len(w.Txn.Then)
+			s.Committed(w, k.next)
+		}
+		if changes > 10+int(now.Seconds()*10) {
+			t.Fatalf("%d changes in %v", changes, now)
+		}
+		if done == 0 && s.Unsplit() == 0 {
+			done = now
+		}
+	}
+	if done == 0 || len(k.finals()) != 600 {
+		t.Errorf("%d pages are left, %d records", s.Unsplit(), len(k.finals()))
+	}
+}
--- /dev/null
+++ b/internal/storage/store.go
@@ -0,0 +1,313 @@
+package storage
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"oakpick/internal/config"
+	"oakpick/internal/protocol"
+)
+
+// maxWrites is how many transactions may be in flight at a time, each for pages of
+// its own. The state service's other calls keep two connections.
+const maxWrites = config.StateCalls - 2
+
+// Write is a transaction in flight.
+type Write struct {
+	ID  string // in the value of every page that it writes
+	Txn protocol.Txn
+	// Oversize tells that a value is larger than the limits to come allow: the rest
+	// of a page that is being split.
+	Oversize bool
+	// Refused tells that the state service called it malformed.
+	Refused bool
+
+	pages []*page
+	guard *page // compared, but not written
+	waits [][]*CommitWait
+	sent  bool
+	again time.Duration
+}
+
+// Key names a page that tells, by the write's id, whether the write was committed.
+func (w *Write) Key() string { return w.pages[0].key() }
+
+// Limits are what the state service bears, now and after any change to come.
+type Limits struct {
+	PageBytes     int
+	ChangesPerTxn int
+	WritesPerS    float64
+}
+
+// Store packs items into pages and decides what is written when. It never has a
+// page in two transactions at a time and never changes what a retry carries: a
+// copy of the first try that arrives late is then the same write or a failed one.
+type Store struct {
+	limits  Limits
+	budget  *rate.Limiter
+	pages   []*page
+	pageOf  map[Item]*page
+	dirty   []*page // oldest first
+	writes  []*Write
+	prefix  string
+	counter int64
+	retry   time.Duration
+	resume  time.Duration // no new transaction before, after a refusal
+	lowered bool          // the state service has lowered its limits for certain
+
+	unchecked []*page // read at the take-over, not yet known to fit the limits
+	sorted    bool
+}
+
+// NewStore makes an empty store. Writes are named by prefix and a counter.
+func NewStore(limits Limits, prefix string, retry time.Duration) *Store {
+	return &Store{
+		limits: limits, pageOf: map[Item]*page{}, prefix: prefix, retry: retry,
+		budget: rate.NewLimiter(rate.Limit(limits.WritesPerS), burst(limits.WritesPerS)),
+	}
+}
+
+// SetBudget changes how many keys a second may be written.
+func (s *Store) SetBudget(writesPerS float64) {
+	s.budget.SetLimit(rate.Limit(writesPerS))
+	s.budget.SetBurst(burst(writesPerS))
+}
+
+// burst is how many keys may be written at once: a second's worth.
+func burst(writesPerS float64) int { return max(1, int(writesPerS)) }
+
+// LimitsLowered notes that values above the limits to come are refused by now.
+func (s *Store) LimitsLowered() { s.lowered = true }
+
+// Load notes items read from a page.
+func (s *Store) Load(number int, version int64, items ...Item) {
+	for len(s.pages) <= number {
+		s.newPage()
+	}
+	p := s.pages[number]
+	p.version = version
+	for _, item := range items {
+		s.put(p, item)
+	}
+}
+
+// LoadStale notes that a page holds records that are read from another one: it is
+// written without them before long.
+func (s *Store) LoadStale(now time.Duration, number int) { s.markDirty(now, s.pages[number], nil) }
+
+func (s *Store) put(p *page, item Item) {
+	p.items = append(p.items, item)
+	p.reserved += s.reserve(item)
+	s.pageOf[item] = p
+}
+
+// reserve is what is set aside for an item: never more than a page holds. An item
+// that could outgrow its page has one of its own and is kept from growing further
+// by whoever asks MaxItem.
+func (s *Store) reserve(item Item) int { return min(item.Reserve(), s.MaxItem()) }
+
+// MaxItem is the most that one item may take.
+func (s *Store) MaxItem() int { return s.limits.PageBytes - pageSize }
+
+// Fits tells whether an item can be kept, whatever it grows to.
+func (s *Store) Fits(item Item) bool { return item.Reserve() <= s.MaxItem() }
+
+// Touch notes that an item is new or has changed; w, if any, waits for the commit.
+func (s *Store) Touch(now time.Duration, item Item, w *CommitWait) {
+	p := s.pageOf[item]
+	if p == nil {
+		p = s.pageWithRoom(s.reserve(item))
+		s.put(p, item)
+	}
+	s.markDirty(now, p, w)
+}
+
+// Swap puts one item in another's place, on the same page, so that no reader
+// ever finds both or neither.
+func (s *Store) Swap(now time.Duration, old, fresh Item, w *CommitWait) {
+	p := s.pageOf[old]
+	delete(s.pageOf, old)
+	s.pageOf[fresh] = p
+	p.items[slices.Index(p.items, old)] = fresh
+	p.reserved += s.reserve(fresh) - s.reserve(old)
+	s.markDirty(now, p, w)
+}
+
+// Remove drops an item.
+func (s *Store) Remove(now time.Duration, item Item, w *CommitWait) {
+	p := s.pageOf[item]
+	if p == nil {
+		return
+	}
+	delete(s.pageOf, item)
+	p.remove(item)
+	p.reserved -= s.reserve(item)
+	s.markDirty(now, p, w)
+}
+
+func (s *Store) newPage() *page {
+	p := &page{number: len(s.pages), reserved: pageSize}
+	s.pages = append(s.pages, p)
+	return p
+}
+
+func (s *Store) markDirty(now time.Duration, p *page, w *CommitWait) {
+	if !p.dirty {
+		p.dirty, p.since = true, now
+		s.dirty = append(s.dirty, p)
+	}
+	if w != nil {
+		w.pending++
+		p.waits = append(p.waits, w)
+	}
+}
+
+// pageWithRoom picks a page: one that will be written anyway, else the first with
+// space, else a new one; none that would have to wait for a write in flight.
+func (s *Store) pageWithRoom(size int) *page {
+	for _, pages := range [][]*page{s.dirty, s.pages} {
+		for _, p := range pages {
+			if !p.inFlight && p.reserved+size <= s.limits.PageBytes {
+				return p
+			}
+		}
+	}
+	return s.newPage()
+}
+
+// Next gives a transaction to send now, if any: conditional on the term's key and
+// on every page's version. Ask again until there is none. Unless more may begin,
+// only those already in flight are sent again.
+func (s *Store) Next(now time.Duration, term protocol.Condition, more bool) *Write {
+	w, due := s.nextRetry(now)
+	if due {
+		return w
+	}
+	if !more || len(s.writes) >= maxWrites || now < s.resume {
+		return nil
+	}
+	s.splitAhead(now)
+	w = s.collect(now)
+	if w == nil {
+		return nil
+	}
+	s.fill(w, term)
+	return w
+}
+
+// nextRetry gives the write to be sent again now. If it is due but the budget is
+// used up, it gives none, and nothing else may be sent either: newer writes must not
+// take the budget that this one waits for. Small ones would leave a large one waiting
+// for ever, and its pages with it. Nor may a budget that was lowered meanwhile be
+// less than it can ever have.
+func (s *Store) nextRetry(now time.Duration) (w *Write, due bool) {
+	for _, w := range s.writes {
+		if w.sent || now < w.again {
+			continue
+		}
+		if !s.budget.AllowN(at(now), min(len(w.pages), s.budget.Burst())) {
+			return nil, true
+		}
+		w.sent = true
+		return w, true
+	}
+	return nil, false
+}
+
+// collect picks dirty pages for one transaction, oldest first, and takes its budget.
+func (s *Store) collect(now time.Duration) *Write {
+	w := &Write{sent: true}
+	most := min(s.limits.ChangesPerTxn, max(1, int(s.budget.TokensAt(at(now)))))
+	left := protocol.MaxBody - txnOverhead
+	for _, p := range s.dirty {
+		if p.inFlight || s.tooLarge(p) {
+			continue
+		}
+		size := p.size()
+		if size > s.limits.PageBytes {
+			if len(w.pages) > 0 {
+				continue // it needs a transaction of its own, and is the first of the next
+			}
+			if most < min(s.limits.ChangesPerTxn, s.budget.Burst()) {
+				return nil
+			}
+			s.split(now, p, w)
+			break
+		}
+		// The sum counts too: a transaction that is too large is refused each time
+		// it is sent again, and its pages would never be written.
+		need := max(size, p.reserved) + changeOverhead
+		if len(w.pages) < most && (need <= left || len(w.pages) == 0) {
+			w.pages = append(w.pages, p)
+			left -= need
+		}
+	}
+	if len(w.pages) == 0 || !s.budget.AllowN(at(now), min(len(w.pages), s.budget.Burst())) {
+		return nil
+	}
+	return w
+}
+
+// fill writes the transaction down; from here on it never changes.
+func (s *Store) fill(w *Write, term protocol.Condition) {
+	s.counter++
+	w.ID = fmt.Sprintf("%s-%d", s.prefix, s.counter)
+	w.Txn.If = append(w.Txn.If, term)
+	if w.guard != nil {
+		w.Txn.If = append(w.Txn.If, protocol.Condition{Key: w.guard.key(), Version: w.guard.version})
+		w.guard.inFlight = true
+	}
+	for _, p := range w.pages {
+		w.Txn.If = append(w.Txn.If, protocol.Condition{Key: p.key(), Version: p.version})
+		w.Txn.Then = append(w.Txn.Then, protocol.Change{Put: p.key(), Value: p.value(w.ID)})
+		w.waits = append(w.waits, p.waits)
+		p.dirty, p.inFlight, p.waits = false, true, nil
+	}
+	s.dirty = slices.DeleteFunc(s.dirty, func(p *page) bool { return !p.dirty })
+	s.writes = append(s.writes, w)
+}
+
+func at(now time.Duration) time.Time { return time.Unix(1, 0).Add(now) }
+
+// Committed notes that a transaction was committed with a version.
+func (s *Store) Committed(w *Write, version int64) {
+	s.writes = slices.DeleteFunc(s.writes, func(x *Write) bool { return x == w })
+	if w.guard != nil {
+		w.guard.inFlight = false
+	}
+	for _, p := range w.pages {
+		p.version, p.inFlight = version, false
+	}
+	for _, waits := range w.waits {
+		for _, wait := range waits {
+			if wait.pending--; wait.pending == 0 {
+				wait.then()
+			}
+		}
+	}
+}
+
+// Retry notes that a transaction wasn't executed, or that nobody knows: the same
+// one is sent again later. Nothing new is begun before that: a state service that
+// refuses writes beyond its rate must not be asked for more.
+func (s *Store) Retry(now time.Duration, w *Write) {
+	w.sent, w.again = false, now+s.retry
+	s.resume = max(s.resume, w.again)
+}
+
+// InFlight tells whether a transaction is under way.
+func (s *Store) InFlight() bool { return len(s.writes) > 0 }
+
+// Backlog is how many pages wait to be written, and since when the oldest does.
+func (s *Store) Backlog(now time.Duration) (pages int, oldest time.Duration) {
+	if len(s.dirty) == 0 {
+		return 0, 0
+	}
+	return len(s.dirty), now - s.dirty[0].since
+}
+
+// Pages is how many there are.
+func (s *Store) Pages() int { return len(s.pages) }
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -17,10 +17,10 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http2"
 
-	"oakpick/internal/bookkeeping"
 	"oakpick/internal/config"
 	"oakpick/internal/coordination"
 	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
 )
 
 // Workers sends direct commands to workers, over a bounded number of connections.
@@ -47,7 +47,7 @@
 // NewWorkers makes the client; most tells how many connections it may hold now.
 func NewWorkers(w config.Workers, most func() int) *Workers {
 	wait := config.Seconds(w.Report * 0.75)
-	return &Workers{wait: wait, most: most, dial: bookkeeping.Dial(wait * 2 / 3), idle: list.New(), by: map[string]*list.Element{}}
+	return &Workers{wait: wait, most: most, dial: storage.Dial(wait * 2 / 3), idle: list.New(), by: map[string]*list.Element{}}
 }
 
 // take gives the worker's idle connection, or room for a new one, or nil.
@@ -66,7 +66,7 @@
 	}
 	w.open++
 	return &link{addr, &fasthttp.HostClient{
-		Addr: addr, Dial: w.dial, MaxConns: 1, MaxIdemponentCallAttempts: 1, RetryIfErr: bookkeeping.NoRetry,
+		Addr: addr, Dial: w.dial, MaxConns: 1, MaxIdemponentCallAttempts: 1, RetryIfErr: storage.NoRetry,
 		MaxResponseBodySize: protocol.MaxBody, NoDefaultUserAgentHeader: true,
 		MaxIdleConnDuration: w.wait * 24,
 	}}
@@ -108,7 +108,7 @@
 	err := l.client.DoTimeout(req, res, w.wait)
 	w.put(l, err == nil)
 	if err != nil {
-		r.Outcome = bookkeeping.Failure(err)
+		r.Outcome = storage.Failure(err)
 		return r
 	}
 	switch res.StatusCode() {
@@ -141,7 +141,7 @@
 func NewCloud(addr string, w config.Workers) *Cloud {
 	wait := config.Seconds(w.Report * 1.5)
 	return &Cloud{wait: wait, client: &fasthttp.HostClient{
-		Addr: addr, Dial: bookkeeping.Dial(wait / 2), MaxConns: config.CloudCalls, MaxIdemponentCallAttempts: 1, RetryIfErr: bookkeeping.NoRetry,
+		Addr: addr, Dial: storage.Dial(wait / 2), MaxConns: config.CloudCalls, MaxIdemponentCallAttempts: 1, RetryIfErr: storage.NoRetry,
 		MaxResponseBodySize: 1 << 20, NoDefaultUserAgentHeader: true,
 	}}
 }
@@ -177,7 +177,7 @@
 	req.SetRequestURI(uri)
 	r := coordination.CloudResult{ID: call.ID}
 	if err := c.client.DoTimeout(req, res, c.wait); err != nil {
-		r.Outcome = bookkeeping.Failure(err)
+		r.Outcome = storage.Failure(err)
 		return r
 	}
 	switch res.StatusCode() {
