--- a/internal/coordination/task.go
+++ b/internal/coordination/task.go
@@ -149,7 +149,7 @@
 func (e *engine) exited(t *task, r protocol.TaskReport) {
 	j, h, a := t.job, t.host, r.Attempt
 	h.forget[a] = forgetting{token: max(t.sentToken, e.firstT-1), since: e.n.now.Mono}
-	w := storage.OnCommit(func() { e.forgettable(h, a) })
+	w := storage.OnCommitLater(func() { e.forgettable(h, a) })
 	now := e.n.now.Mono
 	switch r.Cause {
 	case protocol.Done:
@@ -211,7 +211,7 @@
 	// The whole block is done: the first block says so, and only when that is
 	// durable does the block itself go.
 	j.full.Set(bn)
-	e.store.Touch(now, j.blocks[0], storage.OnCommit(func() {
+	e.store.Touch(now, j.blocks[0], storage.OnCommitLater(func() {
 		if bn != 0 && j.blocks[bn] == b && len(b.starts) == 0 {
 			delete(j.blocks, bn)
 			e.store.Remove(e.n.now.Mono, b, nil)
--- a/internal/storage/page.go
+++ b/internal/storage/page.go
@@ -28,11 +28,16 @@
 type CommitWait struct {
 	pending int
 	then    func()
+	patient bool
 }
 
-// OnCommit makes a wait; it is handed to Touch for every page that it waits for.
+// OnCommit makes a wait; it is handed to Touch for every page that it waits for. A
+// user's answer or the start of a task depends on it.
 func OnCommit(then func()) *CommitWait { return &CommitWait{then: then} }
 
+// OnCommitLater makes a wait that nobody outside depends on: others go first.
+func OnCommitLater(then func()) *CommitWait { return &CommitWait{then: then, patient: true} }
+
 // page is one key of the state service and what belongs on it.
 type page struct {
 	number   int
@@ -40,8 +45,9 @@
 	items    []Item
 	reserved int // what its items are expected to grow to
 	dirty    bool
-	inFlight bool // part of a transaction under way
-	since    time.Duration
+	inFlight bool          // part of a transaction under way
+	since    time.Duration // it is dirty
+	due      time.Duration // pages are written in this order
 	waits    []*CommitWait
 }
 
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -50,7 +51,7 @@
 	budget  *rate.Limiter
 	pages   []*page
 	pageOf  map[Item]*page
-	dirty   []*page // oldest first
+	dirty   []*page
 	writes  []*Write
 	prefix  string
 	counter int64
@@ -154,11 +155,20 @@
 	return p
 }
 
+// patienceRetries is by how many retry times a page that nobody waits for may be
+// written later than one that somebody does. What comes to it meanwhile shares its write.
+const patienceRetries = 5
+
 func (s *Store) markDirty(now time.Duration, p *page, w *CommitWait) {
+	due := now
+	if w == nil || w.patient {
+		due += patienceRetries * s.retry
+	}
 	if !p.dirty {
-		p.dirty, p.since = true, now
+		p.dirty, p.since, p.due = true, now, due
 		s.dirty = append(s.dirty, p)
 	}
+	p.due = min(p.due, due)
 	if w != nil {
 		w.pending++
 		p.waits = append(p.waits, w)
@@ -217,8 +227,10 @@
 	return nil, false
 }
 
-// collect picks dirty pages for one transaction, oldest first, and takes its budget.
+// collect picks dirty pages for one transaction, by when they are due, and takes its
+// budget.
 func (s *Store) collect(now time.Duration) *Write {
+	slices.SortStableFunc(s.dirty, func(a, b *page) int { return cmp.Compare(a.due, b.due) })
 	w := &Write{sent: true}
 	most := min(s.limits.ChangesPerTxn, max(1, int(s.budget.TokensAt(at(now)))))
 	left := protocol.MaxBody - txnOverhead
@@ -303,10 +315,11 @@
 
 // Backlog is how many pages wait to be written, and since when the oldest does.
 func (s *Store) Backlog(now time.Duration) (pages int, oldest time.Duration) {
-	if len(s.dirty) == 0 {
-		return 0, 0
+	since := now
+	for _, p := range s.dirty {
+		since = min(since, p.since)
 	}
-	return len(s.dirty), now - s.dirty[0].since
+	return len(s.dirty), now - since
 }
 
 // Pages is how many there are.
