--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -70,3 +70,36 @@
 		t.Error("a missing file was taken")
 	}
 }
+
+// Limits to come are optional, each of them; impossible ones are named. What has to be
+// kept to is the smaller of both.
+func TestLimitsToCome(t *testing.T) {
+	with := func(next any) (*Config, error) {
+		m := example(t)
+		m["settings"].(map[string]any)["state"].(map[string]any)["next"] = next
+		raw, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return Parse(raw)
+	}
+	c, err := with(nil)
+	if err != nil || c.Settings.State.Smallest() != c.Settings.State {
+		t.Errorf("without any: %v", err)
+	}
+	c, err = with(map[string]any{"value_kb": 2.0, "write_rps": 100, "something": "new"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := c.Settings.State.Smallest(); s.ValueKB != 2 || s.WriteRPS != 40 || s.TxnOps != 8 || s.RPS != 200 {
+		t.Errorf("the smaller of both are %+v", s)
+	}
+	for field, v := range map[string]any{"value_kb": 0, "txn_ops": 0, "write_rps": -1, "rps": 1e9} {
+		if _, err := with(map[string]any{field: v}); err == nil || !strings.Contains(err.Error(), "settings.state.next."+field) {
+			t.Errorf("%s %v: %v", field, v, err)
+		}
+	}
+	if _, err := with("soon"); err == nil || !strings.Contains(err.Error(), "settings.state.next") {
+		t.Errorf("a text: %v", err)
+	}
+}
--- a/internal/coordination/pipeline_test.go
+++ b/internal/coordination/pipeline_test.go
@@ -331,3 +331,88 @@
 	}
 	check(t, w)
 }
+
+// The write that says that a job is done is held up, the leader ends before it is
+// carried out, and the job is cancelled through the next one: what needs it must not
+// have begun by then. In the same way a job is submitted that needs one whose
+// cancellation is held up, and which is done after all: it must not have been called
+// cancelled.
+func TestEndOfAPrerequisiteIsHeldUp(t *testing.T) {
+	outcomes := map[string]int{}
+	for step := range 36 {
+		s := fake.Settings()
+		s.State.TxnOps = 1 // each page has a transaction of its own
+		w := worldOf(t, s)
+		spare(t, w)
+		long := job(1, protocol.Array, 1)
+		long.Class = strings.Repeat("c", 1400) // what needs it is on another page
+		first := accepted(t, w, long, 2*time.Second)
+		jobs := []*fake.Job{first, accepted(t, w, job(2, protocol.Array, 1), time.Second, first)}
+		runs(t, w, first.Sub.ID, 1)
+		host := w.On(first.Sub.ID)[0]
+		if !w.Until(20*time.Second, func() bool { return len(first.DoneTasks) == 1 }) {
+			t.Fatal("the first job does not end")
+		}
+		held, crashed := false, time.Duration(0)
+		w.HoldsWrites = true
+		w.Network = func(kind, from, _ string) fake.Fate {
+			f := fake.Well()
+			if kind == "write" && from == "n0" && !held {
+				held = true // the first write after the end
+				f.Request = 5 * time.Second
+			}
+			// The next leader hears of the end only after the cancellation.
+			f.LoseRequest = step%3 == 1 && kind == "report" && from == host && crashed > 0 && w.Now < crashed+6*time.Second
+			return f
+		}
+		w.Run(time.Duration(step) * 60 * time.Millisecond)
+		if step%3 == 0 {
+			w.CancelJob(first)
+			jobs = append(jobs, accepted(t, w, job(3, protocol.Array, 1), time.Second, first))
+		}
+		w.Run(300 * time.Millisecond)
+		w.Nodes[0].Crash()
+		crashed = w.Now
+		if step%3 == 1 {
+			w.After(700*time.Millisecond, func() { w.CancelEverywhere(first) })
+		}
+		for range 120 {
+			w.Run(50 * time.Millisecond)
+			for _, j := range jobs {
+				w.CloseLook(j)
+			}
+		}
+		w.Nodes[0].Start()
+		pollFor(w, 40*time.Second)
+		check(t, w)
+		for _, j := range jobs[1:] {
+			settled(t, w, []*fake.Job{first, j})
+		}
+		outcomes[first.Told]++
+	}
+	t.Log(outcomes)
+	if len(outcomes) != 2 {
+		t.Errorf("%v: both outcomes were to be seen", outcomes)
+	}
+}
+
+// A job is cancelled whose machine hangs, so that its end can't be written yet. A
+// submission that names it is accepted and cancelled all the same.
+func TestSubmissionNamesAJobThatIsStillBeingStopped(t *testing.T) {
+	w := world(t)
+	long := accepted(t, w, job(1, protocol.Array, 1), time.Hour)
+	runs(t, w, long.Sub.ID, 1)
+	w.Run(5 * time.Second)
+	w.Workers[w.On(long.Sub.ID)[0]].HangUntil = w.Now + 9*time.Second
+	w.CancelJob(long)
+	if !w.Until(3*time.Second, func() bool { return long.Told == protocol.StatusCancelled }) {
+		t.Fatalf("the long job is called %q", long.Told)
+	}
+	j := accepted(t, w, job(2, protocol.Array, 1), time.Second, long)
+	pollFor(w, 3*time.Second)
+	if !j.Accepted || j.Told != protocol.StatusCancelled {
+		t.Errorf("accepted %t, called %q", j.Accepted, j.Told)
+	}
+	w.Run(20 * time.Second)
+	check(t, w)
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -103,6 +103,9 @@
 	// keep copies and hand them in later.
 	Overheard func(r protocol.Report)
 
+	// HoldsWrites has Network tell writes of pages apart, as "write", from the other
+	// calls to the state service.
+	HoldsWrites bool
 	// Production is what is left of a stored value once the version in production has
 	// read it and written it back.
 	Production func(key string, value []byte) []byte
@@ -371,7 +374,11 @@
 			e.Txn = w.asProduction(e.Txn)
 		}
 		old := n.old // a late request is still the old process's
-		n.call("state", "state", report/2, func() (any, bool) { return w.State.execute(n.Name, old, e), true },
+		kind := "state"
+		if len(e.Txn.Then) > 0 && e.Txn.Then[0].Put != coordination.LeaderKey && w.HoldsWrites {
+			kind = "write"
+		}
+		n.call(kind, "state", report/2, func() (any, bool) { return w.State.execute(n.Name, old, e), true },
 			storage.StateResult{ID: e.ID, Outcome: storage.Lost})
 	case coordination.CloudCall:
 		n.call("cloud", "cloud", report, func() (any, bool) { return w.Cloud.execute(e), true },
--- a/internal/protocol/decode_test.go
+++ b/internal/protocol/decode_test.go
@@ -142,3 +142,31 @@
 		}
 	}
 }
+
+// Prerequisites are read once each; null, absent and empty are none; what isn't a list of
+// job ids is malformed.
+func TestPrerequisites(t *testing.T) {
+	read := func(v any) ([]string, error) {
+		m := good()
+		m["prereqs"] = v
+		s, err := DecodeSubmission(body(t, m))
+		if err != nil {
+			return nil, err
+		}
+		return s.Prerequisites, nil
+	}
+	got, err := read([]string{"wk-1", "wk-000405", "wk-1"})
+	if err != nil || len(got) != 2 || got[0] != "wk-1" || got[1] != "wk-000405" {
+		t.Errorf("read as %v, %v", got, err)
+	}
+	for _, none := range []any{nil, []string{}} {
+		if got, err := read(none); err != nil || len(got) != 0 {
+			t.Errorf("%v is read as %v, %v", none, got, err)
+		}
+	}
+	for _, bad := range []any{"wk-1", 7, map[string]string{"a": "wk-1"}, []any{"wk-1", 2}, []any{nil}, []string{"job-1"}, []string{""}} {
+		if got, err := read(bad); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%v is read as %v, %v", bad, got, err)
+		}
+	}
+}
--- a/internal/storage/split_test.go
+++ b/internal/storage/split_test.go
@@ -223,3 +223,40 @@
 		t.Errorf("%d pages are left, %d records", s.Unsplit(), len(k.finals()))
 	}
 }
+
+// Of two copies the one on the page that was written last counts, for every kind of
+// record, and the end of a job more than any other record of it, wherever it is.
+func TestNewerCopyOfARecordCounts(t *testing.T) {
+	page := func(number int, version int64, v PageValue) protocol.Entry {
+		return protocol.Entry{Key: (&page{number: number}).key(), Version: version, Value: protocol.Encode(v)}
+	}
+	pages, err := ReadPages([]protocol.Entry{
+		page(0, 5, PageValue{
+			Jobs: []JobRecord{{ID: "wk-1", Tasks: 1}, {ID: "wk-2"}, {ID: "wk-3"}}, Blocks: []BlockRecord{{Job: "wk-1", Block: 1, Try: 1}},
+			Rentals: []RentalRecord{{Request: "r", Count: 1}}, Options: "old", Extensions: []JobExtension{{Job: "wk-1", BlockTasks: 1}},
+		}),
+		page(1, 7, PageValue{
+			Jobs: []JobRecord{{ID: "wk-1", Tasks: 2}}, Blocks: []BlockRecord{{Job: "wk-1", Block: 1, Try: 2}, {Job: "wk-1", Block: 2}},
+			Rentals: []RentalRecord{{Request: "r", Count: 2}}, Options: "new", Extensions: []JobExtension{{Job: "wk-1", BlockTasks: 2}},
+		}),
+		page(2, 3, PageValue{Finals: []FinalRecord{{ID: "wk-2", Tasks: 9}}}), // older than the job's record
+	})
+	if err != nil || len(pages) != 3 {
+		t.Fatal(pages, err)
+	}
+	old, fresh, end := pages[0], pages[1], pages[2]
+	if !old.Stale || fresh.Stale || end.Stale {
+		t.Errorf("stale: %t, %t, %t", old.Stale, fresh.Stale, end.Stale)
+	}
+	v := old.Value
+	if len(v.Jobs) != 1 || v.Jobs[0].ID != "wk-3" || len(v.Blocks)+len(v.Rentals)+len(v.Extensions) != 0 || v.Options != "" {
+		t.Errorf("of the older page counts %+v", v)
+	}
+	v = fresh.Value
+	if len(v.Jobs) != 1 || len(v.Blocks) != 2 || len(v.Rentals) != 1 || len(v.Extensions) != 1 || v.Options != "new" {
+		t.Errorf("of the newer page counts %+v", v)
+	}
+	if len(end.Value.Finals) != 1 {
+		t.Errorf("the end of a job does not count: %+v", end.Value)
+	}
+}
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -244,3 +244,49 @@
 		}
 	}
 }
+
+// Pages that somebody waits for are written before those that nobody does, even if these
+// have been waiting for a while already, but not for ever.
+func TestPagesThatSomebodyWaitsForAreWrittenFirst(t *testing.T) {
+	s := NewStore(Limits{PageBytes(1), 1, 1}, "t", 100*time.Millisecond) // a key a second
+	s.Touch(0, &thing{"first", 800}, nil)
+	if w := s.Next(0, term, true); w == nil {
+		t.Fatal("nothing to write")
+	} else {
+		s.Committed(w, 1)
+	}
+	var order []string
+	note := func(name string) func() { return func() { order = append(order, name) } }
+	s.Touch(100*time.Millisecond, &thing{"later", 800}, OnCommitLater(note("later")))
+	for i := range 4 {
+		now := 200*time.Millisecond + time.Duration(i)*300*time.Millisecond
+		s.Touch(now, &thing{fmt.Sprint("soon", i), 800}, OnCommit(note(fmt.Sprint("soon", i))))
+	}
+	for now := time.Second; now < 8*time.Second; now += 50 * time.Millisecond {
+		if w := s.Next(now, term, true); w != nil {
+			s.Committed(w, int64(now))
+		}
+	}
+	if got := fmt.Sprint(order); got != "[soon0 soon1 later soon2 soon3]" {
+		t.Errorf("written in the order %v", got)
+	}
+}
+
+// After a refusal nothing new is sent before the refused write is due again: a state
+// service that refuses writes beyond its rate isn't asked for more.
+func TestNothingNewIsSentRightAfterARefusal(t *testing.T) {
+	s := newStore()
+	s.Touch(0, &thing{"refused", 800}, nil)
+	w := s.Next(0, term, true)
+	s.Retry(0, w)
+	s.Touch(0, &thing{"new", 800}, nil)
+	if s.Next(50*time.Millisecond, term, true) != nil {
+		t.Error("a new write was sent at once")
+	}
+	if again := s.Next(150*time.Millisecond, term, true); again != w {
+		t.Errorf("the refused write was not the next: %+v", again)
+	}
+	if s.Next(150*time.Millisecond, term, true) == nil {
+		t.Error("the new write was not sent when the refused one was")
+	}
+}
