--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -192,7 +192,7 @@
 					away[w.On(j.Sub.ID)[0]] = true
 				}
 				const lasts = 30 * time.Second
-				w.Network = func(kind, a, b string) fake.Fate {
+				w.Network = func(_, a, b string) fake.Fate {
 					f := fake.Well()
 					if w.Now > from+lasts {
 						return f
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -34,9 +34,10 @@
 	Lost     = storage.Lost
 )
 
-// Calls to the state service, and their answers.
 type (
-	StateCall   = storage.StateCall
+	// StateCall is a call to the state service.
+	StateCall = storage.StateCall
+	// StateResult answers a StateCall.
 	StateResult = storage.StateResult
 )
 
--- /dev/null
+++ b/internal/coordination/preempt.go
@@ -0,0 +1,190 @@
+package coordination
+
+import (
+	"cmp"
+	"math"
+	"oakpick/internal/protocol"
+	"slices"
+)
+
+// mayPreempt tells whether a task may be stopped for a job.
+func mayPreempt(j *job, v *task) bool {
+	if v.job == j || v.job.Cancelled || len(j.failedOn) >= 3 {
+		return false
+	}
+	// Whoever is stopped must not come before the job in the queue: it would take
+	// the room again, and be stopped again, for ever.
+	if order(v.job) >= order(j) {
+		return false
+	}
+	return v.job.priority() < j.priority() || j.within && !v.job.within && v.job.team != j.team
+}
+
+// makeRoom frees room for the tasks of a job that found none. Room that is
+// about to come free is set aside for it first. Nothing is stopped for a gang
+// that could not start even then.
+func (e *engine) makeRoom(j *job, count int, use map[string]int) {
+	taken := map[*task]bool{}
+	extra := map[*host]need{} // what the taken ones leave
+	var victims []*task
+	saved := map[*host]need{}
+	for n := range count {
+		h := e.comingRoom(j, use, extra)
+		if h == nil {
+			var more []*task
+			if h, more = e.preemptFor(j, use, taken, extra, n == 0); h == nil {
+				if j.Shape == protocol.Gang && n < count {
+					e.giveRoomBack(saved)
+					return
+				}
+				break
+			}
+			for _, t := range more {
+				taken[t] = true
+				extra[h] = extra[h].plus(t.job.need)
+			}
+			victims = append(victims, more...)
+		}
+		if _, ok := saved[h]; !ok {
+			saved[h] = h.virtual
+		}
+		h.virtual = h.virtual.minus(j.need)
+		use[h.zone]++
+	}
+	for _, t := range victims {
+		e.n.Stats.Preempted++
+		e.preemptTask(t, "preempted for "+j.ID)
+		if h := t.host; !slices.Contains(e.pass.freeing, h) {
+			e.pass.freeing = append(e.pass.freeing, h)
+		}
+	}
+}
+
+// comingRoom finds a machine whose stopping tasks will leave room for a task.
+func (e *engine) comingRoom(j *job, use map[string]int, extra map[*host]need) *host {
+	fits := func(h *host) bool {
+		e.n.Stats.HostsSeen++
+		return j.need.fits(h.virtual.plus(h.leaving).plus(extra[h])) && e.alive(h) && j.allowed(h.kind, h.zone, h.spot) && j.zoneOK(h.zone, use)
+	}
+	for _, list := range [][]*host{e.withRoom(j), e.pass.freeing} {
+		for _, h := range list {
+			if fits(h) {
+				return h
+			}
+		}
+	}
+	var best *host // of those with tasks taken for this very job: the first by name, whatever the map's order
+	for h := range extra {
+		if (best == nil || h.name < best.name) && fits(h) {
+			best = h
+		}
+	}
+	return best
+}
+
+// preemptFor finds the tasks whose loss costs least, on one machine, so that a
+// task of the job fits there without them.
+func (e *engine) preemptFor(j *job, use map[string]int, taken map[*task]bool, extra map[*host]need, first bool) (*host, []*task) {
+	c := claim{j.shape(), order(j), j.within, j.team}
+	// Within a pass room only shrinks: what was in vain for one job is so for the
+	// next that may stop the same. A zone's limit is the job's own affair.
+	// So are the places that its other tasks have been promised.
+	free := first && !j.Spread && !j.OneZone && len(j.failedOn) < 3
+	if free && e.pass.vain[c] {
+		return nil, nil
+	}
+	list := e.yielding()
+	var best *host
+	var victims []*task
+	bestCost := math.Inf(1)
+	for i, found := 0, 0; i < len(list) && found < e.opt.Sample; i++ {
+		e.n.Stats.HostsSeen++
+		r := i + e.n.rng.IntN(len(list)-i)
+		list[i], list[r] = list[r], list[i]
+		h := list[i]
+		if !e.alive(h) || !j.allowed(h.kind, h.zone, h.spot) || !j.zoneOK(h.zone, use) {
+			continue
+		}
+		room := h.virtual.plus(h.leaving).plus(extra[h])
+		var may []*task
+		for _, t := range h.tasks {
+			if !t.stopping && !taken[t] && mayPreempt(j, t) {
+				may = append(may, t)
+			}
+		}
+		if len(may) == 0 {
+			continue
+		}
+		slices.SortStableFunc(may, func(a, b *task) int { return cmp.Compare(e.lossOf(a), e.lossOf(b)) })
+		var take []*task
+		cost := h.fetchTime(e, j)
+		for _, t := range may {
+			if j.need.fits(room) {
+				break
+			}
+			room = room.plus(t.job.need)
+			take = append(take, t)
+			cost += e.lossOf(t)
+		}
+		if !j.need.fits(room) || len(take) == 0 {
+			continue
+		}
+		found++
+		if cost < bestCost {
+			best, victims, bestCost = h, take, cost
+		}
+	}
+	if bestCost > e.opt.PreemptMostS {
+		if free && best == nil {
+			e.pass.vain[c] = true
+		}
+		return nil, nil
+	}
+	return best, victims
+}
+
+// yielding lists the machines with tasks that could be stopped for some job:
+// all but those of the highest priority within their team's guarantee.
+func (e *engine) yielding() []*host {
+	p := &e.pass
+	if !p.yields {
+		p.yields = true
+		for _, h := range e.byName {
+			e.n.Stats.HostsSeen++
+			if h.up && slices.ContainsFunc(h.tasks, func(t *task) bool {
+				return !t.job.Cancelled && !(t.job.priority() == protocol.Production && t.job.within)
+			}) {
+				p.yielding = append(p.yielding, h)
+			}
+		}
+	}
+	return p.yielding
+}
+
+// lossOf is what stopping a task costs, in seconds of work.
+func (e *engine) lossOf(t *task) float64 {
+	j := t.job
+	ran := 0.0
+	if t.ranSince >= 0 {
+		ran = (e.n.now.Mono - t.ranSince).Seconds()
+	}
+	switch {
+	case j.Shape == protocol.Service && t.ranSince >= 0:
+		return 240 + 60*float64(j.Priority)
+	case j.Shape == protocol.Service:
+		return 30 + 60*float64(j.Priority)
+	case j.saves():
+		return j.SaveTime + 10
+	default:
+		return ran + 10
+	}
+}
+
+// endsWithin guesses whether a task is over within so many seconds.
+func (e *engine) endsWithin(t *task, s float64) bool {
+	if t.job.Shape == protocol.Service || t.ranSince < 0 {
+		return false
+	}
+	ran := (e.n.now.Mono - t.ranSince).Seconds()
+	return t.job.Estimate > 0 && ran+s > t.job.Estimate*1.2
+}
--- a/internal/coordination/production_test.go
+++ b/internal/coordination/production_test.go
@@ -25,7 +25,8 @@
 // processes that run beside these, read what these write, and write it back.
 type (
 	productionStart struct {
-		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+		//lint:ignore U1000 read by the MessagePack library
+		_msgpack struct{} `msgpack:",as_array"`
 
 		Task    int
 		Try     int64
@@ -33,7 +34,8 @@
 		Session int64
 	}
 	productionJob struct {
-		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+		//lint:ignore U1000 read by the MessagePack library
+		_msgpack struct{} `msgpack:",as_array"`
 
 		ID, Class, Team, Image, Zone string
 		Shape                        uint8
@@ -52,7 +54,8 @@
 		Full                         string
 	}
 	productionBlock struct {
-		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+		//lint:ignore U1000 read by the MessagePack library
+		_msgpack struct{} `msgpack:",as_array"`
 
 		Job    string
 		Block  int
@@ -61,14 +64,16 @@
 		Starts []productionStart
 	}
 	productionFinal struct {
-		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+		//lint:ignore U1000 read by the MessagePack library
+		_msgpack struct{} `msgpack:",as_array"`
 
 		ID        string
 		Cancelled bool
 		Tasks     int
 	}
 	productionRental struct {
-		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+		//lint:ignore U1000 read by the MessagePack library
+		_msgpack struct{} `msgpack:",as_array"`
 
 		Request, Type, Zone string
 		Spot                bool
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -659,7 +659,7 @@
 	w.Submit(more, 3*time.Second)
 	w.Run(5 * time.Second)
 	slow := w.On(low.ID)[0] // one machine's tasks are gone later than the others'
-	w.Network = func(kind, a, b string) fake.Fate {
+	w.Network = func(kind, _, b string) fake.Fate {
 		f := fake.Well()
 		if kind == "orders" && b == slow {
 			f.Request = 700 * time.Millisecond
@@ -938,7 +938,7 @@
 	if h := healthy(); !slices.Equal(h, []bool{true, true, true}) {
 		t.Fatalf("at first %v", h)
 	}
-	w.Network = func(kind, _, to string) fake.Fate {
+	w.Network = func(kind, _, _ string) fake.Fate {
 		f := fake.Well()
 		f.LoseRequest = kind == "peer" || kind == "forward"
 		return f
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -35,7 +35,8 @@
 
 // StartRecord is a task that was started and may be on a machine.
 type StartRecord struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	//lint:ignore U1000 read by the MessagePack library
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Task    int
 	Try     int64
@@ -45,7 +46,8 @@
 
 // JobRecord describes a job that isn't over.
 type JobRecord struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	//lint:ignore U1000 read by the MessagePack library
+	_msgpack struct{} `msgpack:",as_array"`
 
 	ID, Class, Team, Image, Zone string
 	Shape                        protocol.Shape
@@ -66,7 +68,8 @@
 
 // BlockRecord is what is known of a block of a job's tasks.
 type BlockRecord struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	//lint:ignore U1000 read by the MessagePack library
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Job    string
 	Block  int
@@ -77,7 +80,8 @@
 
 // FinalRecord is all that is kept of a job that is over.
 type FinalRecord struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	//lint:ignore U1000 read by the MessagePack library
+	_msgpack struct{} `msgpack:",as_array"`
 
 	ID        string
 	Cancelled bool
@@ -86,7 +90,8 @@
 
 // RentalRecord is a rental whose machines aren't all known from elsewhere yet.
 type RentalRecord struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	//lint:ignore U1000 read by the MessagePack library
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Request, Type, Zone string
 	Spot                bool
@@ -99,7 +104,8 @@
 // JobExtension is what is recorded of a job beside its JobRecord. Versions that
 // don't know it ignore it, and drop it when they write the page.
 type JobExtension struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	//lint:ignore U1000 read by the MessagePack library
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Job string
 	// BlockTasks is how many tasks a block of the job has; 0: as many as follow
--- a/internal/storage/split.go
+++ b/internal/storage/split.go
@@ -18,7 +18,7 @@
 // may be on two pages; the one with the higher version counts (see Latest).
 
 // split moves items off a page that is too large, and makes w the transaction for it.
-func (s *Store) split(now time.Duration, p *page, w *Write) {
+func (s *Store) split(p *page, w *Write) {
 	most := max(1, s.limits.ChangesPerTxn-1) // the page itself takes a change
 	var fresh []*page
 	for len(fresh) < most && p.size() > s.limits.PageBytes && len(p.items) > 1 {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -246,7 +246,7 @@
 			if most < min(s.limits.ChangesPerTxn, s.budget.Burst()) {
 				return nil
 			}
-			s.split(now, p, w)
+			s.split(p, w)
 			break
 		}
 		// The sum counts too: a transaction that is too large is refused each time
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -232,14 +232,13 @@
 	for _, x := range peers {
 		p.addrs[x.Name] = x.Addr
 	}
-	p.client = &http.Client{Transport: &http2.Transport{
-		AllowHTTP: true,
-		DialTLSContext: func(ctx context.Context, _, addr string, _ *tls.Config) (net.Conn, error) {
-			d := net.Dialer{Timeout: wait / 2}
-			return d.DialContext(ctx, "tcp4", addr)
-		},
-		ReadIdleTimeout: wait, PingTimeout: wait / 2, DisableCompression: true,
-	}}
+	dial := func(ctx context.Context, _, addr string, _ *tls.Config) (net.Conn, error) {
+		d := net.Dialer{Timeout: wait / 2}
+		return d.DialContext(ctx, "tcp4", addr)
+	}
+	//lint:ignore SA1019 how it pings was measured; the standard library's way is still to be
+	streams := &http2.Transport{AllowHTTP: true, DialTLSContext: dial, ReadIdleTimeout: wait, PingTimeout: wait / 2, DisableCompression: true}
+	p.client = &http.Client{Transport: streams}
 	return p
 }
 
--- a/internal/transport/overload_test.go
+++ b/internal/transport/overload_test.go
@@ -46,7 +46,7 @@
 func burst(t *testing.T, limited bool) int64 {
 	t.Helper()
 	var good atomic.Int64
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		o := newSlowOwner()
 		limit := NewLimit(75, 2*time.Second, func() {})
 		end := time.Now().Add(20 * time.Second)
