A record too large for any page keeps no other back once limits are lowered

Found by reading: an item that had grown under larger limits than are in force would have been moved to a page of its own, refused for its size, and the term ended, again and again. It now stays unwritten until it has shrunk (a job's tasks end), and the rest of its page is moved away. TestRecordTooLargeForAnyPageKeepsNoOtherBack.

--- a/internal/coordination/prerequisites.go
+++ b/internal/coordination/prerequisites.go
@@ -84,8 +84,7 @@
 		j.readyMs = e.n.now.WallMs
 		j.idleSince = e.n.now.Mono
 		e.arrived(j)
-		i := slices.Index(e.order, j)
-		e.order = append(slices.Delete(e.order, i, i+1), j)
+		e.order = append(slices.DeleteFunc(e.order, func(x *job) bool { return x == j }), j)
 		e.schedule = true
 	}
 }
--- a/internal/storage/split.go
+++ b/internal/storage/split.go
@@ -21,7 +21,7 @@
 func (s *Store) split(p *page, w *Write) {
 	most := max(1, s.limits.ChangesPerTxn-1) // the page itself takes a change
 	var fresh []*page
-	for len(fresh) < most && p.size() > s.limits.PageBytes && len(p.items) > 1 {
+	for len(fresh) < most && p.size() > s.limits.PageBytes && len(p.items) > 1 && !s.tooLarge(p) {
 		fresh = append(fresh, s.moveSome(p))
 	}
 	fits := p.size() <= s.limits.PageBytes
@@ -33,10 +33,15 @@
 	w.pages, w.Oversize = append([]*page{p}, fresh...), !fits
 }
 
-// tooLarge tells whether a page can't be written at all: a single item that grew
-// under larger limits than are in force.
+// tooLarge tells whether a page can't be written for now: what is left on it are items
+// that grew under larger limits than are in force, each too large for a page. They have
+// to shrink first, as a job's tasks end.
 func (s *Store) tooLarge(p *page) bool {
-	return s.lowered && len(p.items) == 1 && p.size() > s.limits.PageBytes
+	if !s.lowered || p.size() <= s.limits.PageBytes {
+		return false
+	}
+	movable := func(item Item) bool { return item.Size() <= s.MaxItem() }
+	return len(p.items) == 1 || !slices.ContainsFunc(p.items, movable)
 }
 
 // moveSome fills a new page with items of another, last ones first. The waits stay
@@ -45,7 +50,8 @@
 	fresh := s.newPage()
 	for i := len(p.items) - 1; i >= 0 && p.size() > s.limits.PageBytes; i-- {
 		item := p.items[i]
-		if len(fresh.items) > 0 && fresh.reserved+s.reserve(item) > s.limits.PageBytes {
+		full := len(fresh.items) > 0 && fresh.reserved+s.reserve(item) > s.limits.PageBytes
+		if full || s.lowered && item.Size() > s.MaxItem() {
 			continue
 		}
 		p.items = slices.Delete(p.items, i, i+1)
--- a/internal/storage/split_test.go
+++ b/internal/storage/split_test.go
@@ -260,3 +260,45 @@
 		t.Errorf("the end of a job does not count: %+v", end.Value)
 	}
 }
+
+// One record on a large page has grown beyond what any page may take now. The others on
+// it are written all the same, and so is this one once it has shrunk.
+func TestRecordTooLargeForAnyPageKeepsNoOtherBack(t *testing.T) {
+	s := NewStore(Limits{PageBytes(2), 4, 1000}, "t", 100*time.Millisecond)
+	k := &keys{t: t, values: map[string][]byte{}, version: map[string]int64{}, limit: 2 << 10, changes: 4}
+	large := &thing{strings.Repeat("x", 2900), 3000}
+	s.Load(0, 0, large)
+	var small []*record
+	for i := range 20 {
+		small = append(small, &record{name: fmt.Sprintf("wk-%06d%s", i, strings.Repeat("0", 20))})
+		s.Load(0, 0, small[i])
+	}
+	s.LimitsLowered()
+	committed := 0
+	run := func(from time.Duration) {
+		for i := range 40 {
+			now := from + time.Duration(i)*100*time.Millisecond
+			for w := s.Next(now, term, true); w != nil; w = s.Next(now, term, true) {
+				if k.apply(w) != OK {
+					t.Fatalf("refused: %d changes", len(w.Txn.Then))
+				}
+				s.Committed(w, k.next)
+			}
+		}
+	}
+	s.Touch(0, large, OnCommit(func() { committed += 100 }))
+	run(0)
+	for _, r := range small {
+		s.Touch(5*time.Second, r, OnCommit(func() { committed++ }))
+	}
+	s.Touch(5*time.Second, &record{name: "another"}, OnCommit(func() { committed++ }))
+	run(5 * time.Second)
+	if committed != 21 {
+		t.Errorf("%d of 21 small records were written", committed)
+	}
+	large.name, large.size = "x", 100
+	run(20 * time.Second)
+	if committed != 121 {
+		t.Errorf("the large record was not written when it had shrunk: %d", committed)
+	}
+}
