--- a/internal/coordination/dependencies.go
+++ b/internal/coordination/dependencies.go
@@ -9,7 +9,8 @@
 
 // dependencies is the graph of jobs that need others to be done first. It knows
 // jobs that aren't over, and of these only those that have prerequisites or
-// dependents. It can't have cycles, since a job names only jobs accepted before it.
+// dependents. It has no cycles: a job names only jobs accepted before it, and an edge of
+// a damaged record that would close one is counted as an unknown prerequisite.
 //
 // What is recorded is the edges, with the dependent job. Everything else follows
 // from them and from how jobs ended, and is computed anew by a new leader.
@@ -52,16 +53,49 @@
 }
 
 // add notes that a job needs others, which aren't over, and so many that nothing is
-// known of.
-func (d *dependencies) add(j *job, needs []*job, unknown int) {
+// known of. It tells how many of the edges would have closed a cycle.
+func (d *dependencies) add(j *job, needs []*job, unknown int) (cyclic int) {
 	n := d.node(j)
-	n.unknown += unknown
 	for _, p := range needs {
 		need := d.node(p)
+		if d.reaches(need, n) {
+			cyclic++
+			continue
+		}
 		n.needs = append(n.needs, need)
 		need.dependents = append(need.dependents, n)
 	}
+	n.unknown += unknown + cyclic
 	d.passBack(n)
+	return cyclic
+}
+
+// reaches tells whether a job is another, or needs it, directly or through others. A new
+// job has no dependents, so that nothing is looked at for it.
+func (d *dependencies) reaches(from, to *dependency) bool {
+	if from == to {
+		return true
+	}
+	if len(to.dependents) == 0 {
+		return false
+	}
+	seen := map[*dependency]bool{from: true}
+	next := []*dependency{from}
+	for len(next) > 0 {
+		n := next[len(next)-1]
+		next = next[:len(next)-1]
+		for _, p := range n.needs {
+			d.visits++
+			if p == to {
+				return true
+			}
+			if !seen[p] {
+				seen[p] = true
+				next = append(next, p)
+			}
+		}
+	}
+	return false
 }
 
 // waits tells whether a prerequisite of the job isn't done yet.
--- a/internal/coordination/dependencies_test.go
+++ b/internal/coordination/dependencies_test.go
@@ -96,6 +96,29 @@
 	}
 }
 
+// Damaged records name jobs in a circle. Every job of it waits for good, and handing a
+// deadline back comes to an end.
+func TestEdgesInACircleHoldBack(t *testing.T) {
+	d := newDependencies()
+	a, b, c := graphJob("a", protocol.Low, 50, 1), graphJob("b", protocol.High, 0, 1), graphJob("c", protocol.Low, 9, 1)
+	if n := d.add(a, []*job{a}, 0); n != 1 || !a.waits() {
+		t.Errorf("a job that needs itself: %d cyclic edges", n)
+	}
+	d.add(b, []*job{a}, 0)
+	d.add(c, []*job{b}, 0)
+	if n := d.add(a, []*job{c, c}, 0); n != 2 {
+		t.Errorf("a circle of three: %d cyclic edges", n)
+	}
+	for _, j := range []*job{a, b, c} {
+		if !j.waits() {
+			t.Errorf("%s does not wait", j.ID)
+		}
+	}
+	if with := d.cancelled("a"); !slices.Equal(with, []string{"b", "c"}) {
+		t.Errorf("cancelled with the first: %v", with)
+	}
+}
+
 // Thousands of jobs, as a chain, a fan and a ladder: adding, finishing and cancelling
 // cost what they touch, without recursion over what users name.
 func TestGraphOfThousandsCostsWhatItTouches(t *testing.T) {
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -122,6 +122,9 @@
 	if err != nil {
 		return fmt.Errorf("job %s: %w", r.ID, err)
 	}
+	if err := r.ValidateBlocks(j.blockTasks, full); err != nil {
+		return err
+	}
 	j.full, j.committed, j.cancelKnown = full, true, r.Cancelled
 	j.cancelledAt = e.n.now.Mono
 	for b := range j.blockCount() {
@@ -200,6 +203,9 @@
 	if err != nil {
 		return fmt.Errorf("job %s: %w", j.ID, err)
 	}
+	if err := r.ValidateTasks(j.Tasks, j.blockTasks, done); err != nil {
+		return err
+	}
 	b.try, b.done = r.Try, done
 	if j.full.Has(b.number) {
 		// Its completion is recorded in the first block; it was about to go. The
@@ -235,8 +241,10 @@
 	j := &job{
 		JobRecord: r, e: e, blocks: map[int]*block{}, tasks: map[int]*task{}, idleSince: e.n.now.Mono,
 		need: need{r.CPUs, r.GPUs, r.MemoryGB}, failedOn: map[string]bool{}, kinds: strings.Join(r.Types, " "),
-		readyMs: r.SubmittedMs, blockTasks: e.rules.blockTasks, recordBlocks: e.n.cfg.Settings.State.Next != nil,
+		readyMs: r.SubmittedMs, blockTasks: e.rules.blockTasks,
 	}
+	// Without it the number of a block would mean other tasks once value_kb is changed.
+	j.recordBlocks = e.n.cfg.Settings.State.Next != nil || j.blockCount() > 1
 	if j.team = e.teams[r.Team]; j.team == nil {
 		j.team = &team{Team: config.Team{Name: r.Team}} // a team that the settings no longer name
 		e.teams[r.Team] = j.team
--- a/internal/coordination/prerequisites.go
+++ b/internal/coordination/prerequisites.go
@@ -71,7 +71,9 @@
 		}
 	}
 	if !cancelled && len(needs)+unknown > 0 {
-		e.dependencies.add(j, needs, unknown)
+		if cyclic := e.dependencies.add(j, needs, unknown); cyclic > 0 {
+			e.n.log(Error, "a prerequisite needs the job itself: the job waits for good", "job", j.ID)
+		}
 	}
 	return cancelled
 }
--- a/internal/coordination/production_test.go
+++ b/internal/coordination/upgrade_test.go
@@ -1,249 +1,19 @@
 package coordination_test
 
 import (
-	"bytes"
-	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"oakpick/internal/config"
-	"oakpick/internal/coordination"
 	"oakpick/internal/fake"
 	"oakpick/internal/protocol"
 	"oakpick/internal/storage"
 )
 
-// The record types of the version in production (deploy/service.toml names its
-// commit), as they were. They must not be changed with the sources: they stand for
-// processes that run beside these, read what these write, and write it back.
-type (
-	productionStart struct {
-		//lint:ignore U1000 read by the MessagePack library
-		_msgpack struct{} `msgpack:",as_array"`
-
-		Task    int
-		Try     int64
-		Host    string
-		Session int64
-	}
-	productionJob struct {
-		//lint:ignore U1000 read by the MessagePack library
-		_msgpack struct{} `msgpack:",as_array"`
-
-		ID, Class, Team, Image, Zone string
-		Shape                        uint8
-		Priority                     uint8
-		Tasks                        int
-		CPUs, GPUs, MemoryGB         float64
-		ImageGB                      float64
-		AnyType                      bool
-		Types                        []string
-		OneZone, Spread, Spot        bool
-		Estimate, SaveEach, SaveTime float64
-		Deadline                     float64
-		SubmittedMs                  int64
-		Cancelled                    bool
-		Try                          int64
-		Full                         string
-	}
-	productionBlock struct {
-		//lint:ignore U1000 read by the MessagePack library
-		_msgpack struct{} `msgpack:",as_array"`
-
-		Job    string
-		Block  int
-		Try    int64
-		Done   string
-		Starts []productionStart
-	}
-	productionFinal struct {
-		//lint:ignore U1000 read by the MessagePack library
-		_msgpack struct{} `msgpack:",as_array"`
-
-		ID        string
-		Cancelled bool
-		Tasks     int
-	}
-	productionRental struct {
-		//lint:ignore U1000 read by the MessagePack library
-		_msgpack struct{} `msgpack:",as_array"`
-
-		Request, Type, Zone string
-		Spot                bool
-		Count               int
-		Answered            bool
-		Hosts               []string
-		AtMs                int64
-	}
-	productionPage struct {
-		ID      string             `msgpack:"id"`
-		Jobs    []productionJob    `msgpack:"j,omitempty"`
-		Blocks  []productionBlock  `msgpack:"b,omitempty"`
-		Finals  []productionFinal  `msgpack:"f,omitempty"`
-		Rentals []productionRental `msgpack:"r,omitempty"`
-		Options string             `msgpack:"o,omitempty"`
-	}
-	productionLeader struct {
-		Node  string `msgpack:"node"`
-		Boot  string `msgpack:"boot"`
-		Lease int64  `msgpack:"permit"`
-		Raise int64  `msgpack:"raise"`
-	}
-	productionStepDown struct {
-		Term   int64  `msgpack:"term"`
-		Leader string `msgpack:"leader"`
-	}
-	productionStepDownAnswer struct {
-		SteppedDown bool  `msgpack:"released"`
-		Led         int64 `msgpack:"taken"`
-		UpMs        int64 `msgpack:"up_ms"`
-	}
-)
-
-// writtenBack decodes a message as the version in production does, and encodes it again.
-func writtenBack[T any](message []byte) []byte {
-	var v T
-	if err := msgpack.Unmarshal(message, &v); err != nil {
-		panic(err)
-	}
-	out, err := msgpack.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return out
-}
-
-// asProduction is what is left of a stored value once the version in production has
-// read it and written it back.
-func asProduction(key string, value []byte) []byte {
-	if key == coordination.LeaderKey {
-		return writtenBack[productionLeader](value)
-	}
-	return writtenBack[productionPage](value)
-}
-
-type golden struct {
-	Key   string `json:"key"`
-	Value string `json:"value"`
-}
-
-// productionGolden is what the version in production really stored and sent: see
-// testdata/production/README.md.
-func productionGolden(t *testing.T) map[string][]byte {
-	t.Helper()
-	text, err := os.ReadFile("../../testdata/production/values.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var list []golden
-	if err := json.Unmarshal(text, &list); err != nil {
-		t.Fatal(err)
-	}
-	out := map[string][]byte{}
-	for _, g := range list {
-		if out[g.Key], err = base64.StdEncoding.DecodeString(g.Value); err != nil {
-			t.Fatal(err)
-		}
-	}
-	return out
-}
-
-// What production wrote is read, and written back to the byte: a renamed field, a
-// changed order or a lost record would show.
-func TestWhatProductionWroteIsKeptToTheByte(t *testing.T) {
-	kinds := map[string]int{}
-	for key, value := range productionGolden(t) {
-		var again []byte
-		switch {
-		case key == "peer/step-down":
-			again = writtenBack[protocol.StepDown](value)
-		case key == "peer/step-down-answer":
-			again = writtenBack[protocol.StepDownAnswer](value)
-		case strings.HasPrefix(key, storage.Prefix):
-			again = writtenBack[storage.PageValue](value)
-			var page storage.PageValue
-			if err := protocol.Decode(value, &page); err != nil {
-				t.Fatal(err)
-			}
-			kinds["jobs"] += len(page.Jobs)
-			kinds["blocks"] += len(page.Blocks)
-			kinds["finals"] += len(page.Finals)
-			kinds["rentals"] += len(page.Rentals)
-			kinds["options"] += len(page.Options)
-			if len(page.Extensions) > 0 {
-				t.Errorf("%s: production knows no extensions", key)
-			}
-		case key == coordination.LeaderKey:
-			again = writtenBack[productionLeader](value)
-		default:
-			t.Errorf("an unknown key %s", key)
-		}
-		if !bytes.Equal(again, value) {
-			t.Errorf("%s: %x was written, %x is written back", key, value, again)
-		}
-	}
-	for _, kind := range []string{"jobs", "blocks", "finals", "rentals", "options"} {
-		if kinds[kind] == 0 {
-			t.Errorf("the golden pages have no %s", kind)
-		}
-	}
-}
-
-// What the peers say to each other is read by both versions alike.
-func TestPeerMessagesAreThoseOfProduction(t *testing.T) {
-	ask := protocol.Encode(protocol.StepDown{Term: 1 << 40, Leader: "n1"})
-	if !bytes.Equal(writtenBack[productionStepDown](ask), ask) {
-		t.Error("production reads another step-down request")
-	}
-	answer := protocol.Encode(protocol.StepDownAnswer{SteppedDown: true, Led: 1 << 40, UpMs: 5})
-	if !bytes.Equal(writtenBack[productionStepDownAnswer](answer), answer) {
-		t.Error("production reads another answer")
-	}
-}
-
-// While nothing new is used, every value that is stored is one that production could
-// have written: it reads it and writes it back to the byte.
-func TestNothingNewIsWrittenWhileNothingNewIsUsed(t *testing.T) {
-	w := fake.NewWorld(fake.Settings())
-	seen := 0
-	look := func() {
-		for key, value := range w.State.Values() {
-			seen++
-			if !bytes.Equal(asProduction(key, value), value) {
-				t.Fatalf("%s holds what production would not write: %x", key, value)
-			}
-		}
-	}
-	for i := range 12 {
-		s := job(i+1, protocol.Shape(i%3), 1+i*2%5)
-		if s.Shape == protocol.Service {
-			s.SaveEach = 0
-		}
-		j := w.Submit(s, 3*time.Second)
-		w.Run(1500 * time.Millisecond)
-		look()
-		if i%5 == 4 {
-			w.CancelJob(j)
-		}
-		if i == 7 {
-			w.Leader().Crash()
-		}
-	}
-	w.Run(20 * time.Second)
-	look()
-	if seen == 0 {
-		t.Error("nothing was stored")
-	}
-	check(t, w)
-}
-
 // rolled makes a world in which all controllers run as the version in production, with
 // lower limits to come.
 func rolled(t *testing.T) *fake.World {
@@ -496,3 +266,78 @@
 	}
 	check(t, w)
 }
+
+// The operators change value_kb itself, without saying before what is to come. A job of
+// several blocks that this version accepted is carried on by the length that it recorded.
+func TestJobsOfSeveralBlocksOutliveAnotherValueSize(t *testing.T) {
+	for _, sizes := range [][2]float64{{4, 1}, {1, 4}} {
+		t.Run(fmt.Sprint(sizes), func(t *testing.T) {
+			s := fake.Settings()
+			s.State.ValueKB = sizes[0]
+			w := worldOf(t, s)
+			large := job(1, protocol.Array, 60)
+			large.CPUs, large.Team = 0.5, "red"
+			j := w.Submit(large, 4*time.Second)
+			if !w.Until(60*time.Second, func() bool { return len(j.DoneTasks) >= 26 }) {
+				t.Fatal("no block is done")
+			}
+			w.Run(500 * time.Millisecond)
+			if n := len(j.DoneTasks); n > 50 {
+				t.Fatalf("%d of 60 tasks are done: this shows nothing", n)
+			}
+			changeValueSize(w, sizes[1])
+			pollFor(w, 90*time.Second)
+			if j.Told != protocol.StatusDone {
+				t.Errorf("told %q, %d tasks done", j.Told, len(j.DoneTasks))
+			}
+			check(t, w)
+		})
+	}
+}
+
+// changeValueSize restarts every controller with another value_kb.
+func changeValueSize(w *fake.World, kilobytes float64) {
+	for _, n := range w.Nodes {
+		n.Crash()
+	}
+	w.Cfg.Settings.State.ValueKB = kilobytes
+	w.State.Allow(kilobytes)
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+}
+
+// A job of several blocks that the version in production accepted has no such length
+// recorded. If value_kb is changed and its records disagree, nobody leads, and the log
+// says why: no task is taken for another.
+func TestBlocksThatDisagreeWithTheSettingsAreRefused(t *testing.T) {
+	s := fake.Settings()
+	s.State.ValueKB = 4
+	w := fake.NewWorld(s)
+	w.Production = asProduction
+	for _, n := range w.Nodes {
+		n.Crash()
+		n.Old = true
+		n.Start()
+	}
+	large := job(1, protocol.Array, 60)
+	large.CPUs, large.Team = 0.5, "red"
+	w.Submit(large, 30*time.Second)
+	runs(t, w, large.ID, 24)
+	for _, n := range w.Nodes {
+		n.Old = false
+	}
+	changeValueSize(w, 1)
+	w.Run(10 * time.Second)
+	if w.Leader() != nil {
+		t.Error("a controller leads")
+	}
+	said := func(line string) bool { return strings.Contains(line, "was value_kb changed?") }
+	if !slices.ContainsFunc(w.Log, said) {
+		t.Error("no log line says why")
+	}
+	changeValueSize(w, 4)
+	pollFor(w, 150*time.Second)
+	check(t, w)
+	served(t, w)
+}
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -59,6 +59,10 @@
 			r.Hosts = names
 			return r
 		}
+		if !slices.ContainsFunc(c.types, func(t protocol.MachineType) bool { return t.Name == q.Type }) {
+			r.Outcome = coordination.Invalid
+			return r
+		}
 		have := 0
 		for _, m := range c.machines {
 			if !m.gone && m.Type == q.Type && m.Zone == q.Zone && m.Spot == q.Spot {
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -72,6 +73,9 @@
 	s.limits, s.lowered = s.limits.Smallest(), true
 }
 
+// Allow sets how large a value may be.
+func (s *State) Allow(kilobytes float64) { s.limits.ValueKB = kilobytes }
+
 // Values are the stored values by key.
 func (s *State) Values() map[string][]byte {
 	out := map[string][]byte{}
@@ -81,6 +85,15 @@
 	return out
 }
 
+// Restore stores values that another service held, as if each had been written after the
+// one before it in the order of the keys. No key is attached to a lease.
+func (s *State) Restore(values map[string][]byte) {
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		s.revision++
+		s.keys[key] = entry{value: values[key], version: s.revision}
+	}
+}
+
 func (s *State) expire() {
 	for id, l := range s.leases {
 		if s.w.Now >= l.ends {
--- a/internal/protocol/decode.go
+++ b/internal/protocol/decode.go
@@ -142,8 +142,10 @@
 	Prereqs   *[]string `msgpack:"prereqs"`
 }
 
+// MaxTasks is the most tasks that a job may have.
+const MaxTasks = 100_000
+
 const (
-	maxTasks  = 100_000
 	maxAmount = 1e9
 	maxName   = 128
 	maxTypes  = 16
@@ -201,7 +203,7 @@
 	if s.Priority, ok = priorityWords[text("rank", w.Rank)]; !ok && bad == nil {
 		bad = malformed("rank: unknown word")
 	}
-	if bad == nil && (w.Pieces == nil || *w.Pieces < 1 || *w.Pieces > maxTasks) {
+	if bad == nil && (w.Pieces == nil || *w.Pieces < 1 || *w.Pieces > MaxTasks) {
 		bad = malformed("pieces: missing or out of range")
 	}
 	if bad != nil {
@@ -285,7 +287,7 @@
 		return "", 0, false
 	}
 	n, err := strconv.Atoi(idx)
-	if err != nil || n < 0 || n >= maxTasks {
+	if err != nil || n < 0 || n >= MaxTasks {
 		return "", 0, false
 	}
 	return job, n, true
--- a/internal/storage/read.go
+++ b/internal/storage/read.go
@@ -31,9 +31,15 @@
 		if err := protocol.Decode(entry.Value, &p.Value); err != nil {
 			return nil, fmt.Errorf("%s: %w", entry.Key, err)
 		}
+		if err := p.Value.validate(); err != nil {
+			return nil, fmt.Errorf("%s: %w", entry.Key, err)
+		}
 		pages = append(pages, p)
 	}
-	latest := newestCopies(pages)
+	latest, err := newestCopies(pages)
+	if err != nil {
+		return nil, err
+	}
 	for i := range pages {
 		latest.dropStale(&pages[i])
 	}
@@ -47,6 +53,8 @@
 	block int
 }
 
+func (k recordKey) String() string { return fmt.Sprintf("%s %s/%d", k.kind, k.name, k.block) }
+
 func jobKey(r JobRecord) recordKey          { return recordKey{"job", r.ID, 0} }
 func extensionKey(r JobExtension) recordKey { return recordKey{"extension", r.Job, 0} }
 func blockKey(r BlockRecord) recordKey      { return recordKey{"block", r.Job, r.Block} }
@@ -56,30 +64,43 @@
 // copies knows the version of the page that has the newest copy of each record.
 type copies map[recordKey]int64
 
-func newestCopies(pages []LoadedPage) copies {
+// newestCopies finds these versions. No transaction writes a record twice, so two
+// copies of one version are damage.
+func newestCopies(pages []LoadedPage) (copies, error) {
 	c := copies{}
 	for _, p := range pages {
-		note := func(k recordKey) { c[k] = max(c[k], p.Version) }
-		for _, r := range p.Value.Jobs {
-			note(jobKey(r))
-		}
-		for _, r := range p.Value.Extensions {
-			note(extensionKey(r))
-		}
-		for _, r := range p.Value.Blocks {
-			note(blockKey(r))
-		}
-		for _, r := range p.Value.Finals {
-			note(finalKey(r))
-		}
-		for _, r := range p.Value.Rentals {
-			note(rentalKey(r))
-		}
-		if p.Value.Options != "" {
-			note(optionsKey)
+		for _, k := range p.Value.keys() {
+			if c[k] == p.Version {
+				return nil, damaged(k.String(), "stands twice in revision %d", p.Version)
+			}
+			c[k] = max(c[k], p.Version)
 		}
 	}
-	return c
+	return c, nil
+}
+
+// keys tell what records a page has.
+func (v *PageValue) keys() []recordKey {
+	var keys []recordKey
+	for _, r := range v.Jobs {
+		keys = append(keys, jobKey(r))
+	}
+	for _, r := range v.Extensions {
+		keys = append(keys, extensionKey(r))
+	}
+	for _, r := range v.Blocks {
+		keys = append(keys, blockKey(r))
+	}
+	for _, r := range v.Finals {
+		keys = append(keys, finalKey(r))
+	}
+	for _, r := range v.Rentals {
+		keys = append(keys, rentalKey(r))
+	}
+	if v.Options != "" {
+		keys = append(keys, optionsKey)
+	}
+	return keys
 }
 
 var optionsKey = recordKey{kind: "options"}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -9,6 +9,7 @@
 
 import (
 	"encoding/hex"
+	"math/bits"
 
 	"oakpick/internal/protocol"
 )
@@ -27,6 +28,16 @@
 	(*b)[i>>3] |= 1 << (i & 7)
 }
 
+// Len is one more than the largest number in the set; 0: it is empty.
+func (b Bits) Len() int {
+	for i := len(b) - 1; i >= 0; i-- {
+		if b[i] != 0 {
+			return i<<3 + bits.Len8(b[i])
+		}
+	}
+	return 0
+}
+
 // Text is the set's durable form.
 func (b Bits) Text() string { return hex.EncodeToString(b) }
 
--- a/internal/storage/split_test.go
+++ b/internal/storage/split_test.go
@@ -232,7 +232,7 @@
 	}
 	pages, err := ReadPages([]protocol.Entry{
 		page(0, 5, PageValue{
-			Jobs: []JobRecord{{ID: "wk-1", Tasks: 1}, {ID: "wk-2"}, {ID: "wk-3"}}, Blocks: []BlockRecord{{Job: "wk-1", Block: 1, Try: 1}},
+			Jobs: []JobRecord{{ID: "wk-1", Tasks: 1}, {ID: "wk-2", Tasks: 9}, {ID: "wk-3", Tasks: 1}}, Blocks: []BlockRecord{{Job: "wk-1", Block: 1, Try: 1}},
 			Rentals: []RentalRecord{{Request: "r", Count: 1}}, Options: "old", Extensions: []JobExtension{{Job: "wk-1", BlockTasks: 1}},
 		}),
 		page(1, 7, PageValue{
