Ends of cancelled jobs are written in the background, and told before

Cause: when a pipeline of 260 jobs is cancelled at its root, their ends were written before others' submissions, which were refused as 'too much to be written', and each of the jobs got 503 until its own end was durable, though a successor comes to the same result. Stories: pipelines of 260 jobs (chain, fan, diamonds) cancelled while the leader changes; clocks that put a pipeline in the wrong order (the take-over's cancelDependents, which no test held); a repeat before the acceptance; a prerequisite long over; a cancellation further on.

--- a/internal/coordination/formats_test.go
+++ b/internal/coordination/formats_test.go
@@ -177,9 +177,15 @@
 // goldenPages are the pages among the values of a file.
 func goldenPages(t *testing.T, file string) map[string][]byte {
 	t.Helper()
-	pages := goldenValues(t, file)
-	maps.DeleteFunc(pages, func(key string, _ []byte) bool { return !strings.HasPrefix(key, storage.Prefix) })
-	return pages
+	return onlyPages(goldenValues(t, file))
+}
+
+// pagesOf are the pages that a world's state service holds.
+func pagesOf(w *fake.World) map[string][]byte { return onlyPages(w.State.Values()) }
+
+func onlyPages(values map[string][]byte) map[string][]byte {
+	maps.DeleteFunc(values, func(key string, _ []byte) bool { return !strings.HasPrefix(key, storage.Prefix) })
+	return values
 }
 
 const (
@@ -308,9 +314,7 @@
 					t.Errorf("%s is called %q, not %q", id, status, want)
 				}
 			}
-			left := w.State.Values()
-			maps.DeleteFunc(left, func(key string, _ []byte) bool { return !strings.HasPrefix(key, storage.Prefix) })
-			stillOpen, ended := recordedJobs(t, left)
+			stillOpen, ended := recordedJobs(t, pagesOf(w))
 			for id := range unfinished {
 				if _, ok := stillOpen[id]; !ok && ended[id] == "" {
 					t.Errorf("%s is on no page", id)
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -187,4 +187,9 @@
 
 func (j *job) isIdle(index int) bool { return j.tasks[index] == nil && !j.isDone(index) }
 
+// settling tells whether the job is over, but its user can't be told: a successor might
+// come to another result. What is durably cancelled stays so, whether its end is written
+// or not.
+func (j *job) settling() bool { return j.over && !(j.Cancelled && j.committed) }
+
 func (j *job) saves() bool { return j.SaveEach > 0 }
--- /dev/null
+++ b/internal/coordination/large_pipeline_test.go
@@ -0,0 +1,303 @@
+package coordination_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"oakpick/internal/config"
+	"oakpick/internal/coordination"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
+)
+
+// smallestBudgets are the limits of a state service that has lowered them.
+func smallestBudgets() config.Settings {
+	s := fake.Settings()
+	s.State = config.State{RPS: 120, WriteRPS: 18, ValueKB: 2, TxnOps: 4}
+	return s
+}
+
+// acceptedAll lets users submit until every job is accepted.
+func acceptedAll(t *testing.T, w *fake.World, jobs []*fake.Job) {
+	t.Helper()
+	waits := func(j *fake.Job) bool { return !j.Accepted }
+	if !w.Until(5*time.Minute, func() bool { return !slices.ContainsFunc(jobs, waits) }) {
+		t.Fatal("not every job of the pipeline was accepted")
+	}
+}
+
+// Pipelines of great depth, of great width, and of diamonds, at the smallest budgets. The
+// root is cancelled, and the leader ends while the ends of what needs it are written: all
+// nodes call every job cancelled from the first moment on, the ends are written within
+// cancel_s, and others' submissions are still accepted in good time.
+func TestLargePipelinesAreCancelledAtTheRoot(t *testing.T) {
+	const size = 260
+	shapes := map[string]func(w *fake.World, root *fake.Job, n int, all []*fake.Job) []*fake.Job{
+		"chain": func(_ *fake.World, _ *fake.Job, _ int, all []*fake.Job) []*fake.Job { return all[len(all)-1:] },
+		"fan":   func(_ *fake.World, root *fake.Job, _ int, _ []*fake.Job) []*fake.Job { return []*fake.Job{root} },
+		"diamonds": func(_ *fake.World, _ *fake.Job, n int, all []*fake.Job) []*fake.Job {
+			if n%3 == 0 { // the foot of one, and the top of the next
+				return all[max(0, len(all)-2):]
+			}
+			return all[(n-1)/3*3 : (n-1)/3*3+1]
+		},
+	}
+	for name, needs := range shapes {
+		for _, crash := range []time.Duration{-1, 0, 300 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprint(name, " ", crash), func(t *testing.T) {
+				t.Parallel()
+				w := worldOf(t, smallestBudgets())
+				spare(t, w)
+				root := accepted(t, w, job(1, protocol.Array, 1), time.Hour)
+				runs(t, w, root.Sub.ID, 1)
+				all := []*fake.Job{root}
+				for n := 1; n <= size; n++ {
+					all = append(all, accepted(t, w, job(1000+n, protocol.Array, 1), time.Second, needs(w, root, n, all)...))
+				}
+				acceptedAll(t, w, all)
+				w.CancelJob(root)
+				if !w.Until(10*time.Second, func() bool { return root.Cancelled }) {
+					t.Fatal("not told that it is cancelled")
+				}
+				if crash >= 0 {
+					w.Run(crash)
+					if l := w.Leader(); l != nil {
+						l.Crash()
+						w.After(2*time.Second, l.Start)
+					}
+				}
+				lookClosely(w, all[len(all)-5:], 300*time.Millisecond)
+				w.Run(400 * time.Millisecond)
+				if last := all[len(all)-1]; crash < 0 && last.Told != protocol.StatusCancelled {
+					t.Errorf("%s is called %q after 0.7 s", last.Sub.ID, last.Told)
+				}
+				other := w.Submit(job(5, protocol.Array, 1), time.Second)
+				from, acceptedAfter := w.Now, time.Duration(0)
+				for w.Now < root.CancelAt+config.Seconds(w.Cfg.Settings.Workers.Cancel) {
+					w.Run(500 * time.Millisecond)
+					for _, j := range all[len(all)-5:] {
+						w.CloseLook(j)
+					}
+					if other.Accepted && acceptedAfter == 0 {
+						acceptedAfter = w.Now - from
+					}
+				}
+				if acceptedAfter == 0 || crash < 0 && acceptedAfter > 500*time.Millisecond || acceptedAfter > 8*time.Second {
+					t.Errorf("another's submission was accepted after %v", acceptedAfter)
+				}
+				if open, _ := recordedJobs(t, pagesOf(w)); len(open) > 1 {
+					t.Errorf("the ends of %d jobs aren't written", len(open))
+				}
+				pollFor(w, 15*time.Second)
+				for _, j := range all {
+					if j.Told != protocol.StatusCancelled {
+						t.Fatalf("%s is called %q", j.Sub.ID, j.Told)
+					}
+				}
+				check(t, w)
+			})
+		}
+	}
+}
+
+// A leader whose clock is ahead accepts a job, the next one, whose clock is behind, accepts
+// another that needs it: by the times of their submissions the second comes before the
+// first. A job before both is cancelled, and the leader ends before the others' ends are
+// written. The next leader cancels them all the same, in whatever order it finds them.
+func TestClocksPutAPipelineInTheWrongOrder(t *testing.T) {
+	for step := range 12 {
+		s := fake.Settings()
+		s.State.TxnOps = 1 // the end of each job has a transaction of its own
+		w := worldOf(t, s)
+		spare(t, w)
+		w.Nodes[0].ClockOff = 5 * time.Second
+		w.Nodes[1].ClockOff, w.Nodes[2].ClockOff = -5*time.Second, -5*time.Second
+		long := func(n int) protocol.Submission { // each on a page of its own
+			s := job(n, protocol.Array, 1)
+			s.Class = fmt.Sprintf("%01400d", n)
+			return s
+		}
+		first := accepted(t, w, long(1), time.Hour)
+		runs(t, w, first.Sub.ID, 1)
+		second := accepted(t, w, long(2), time.Second, first)
+		if !w.Until(10*time.Second, func() bool { return second.Accepted }) {
+			t.Fatal("not accepted")
+		}
+		w.Nodes[0].Crash()
+		w.After(10*time.Second, w.Nodes[0].Start)
+		third := accepted(t, w, long(3), time.Second, second)
+		fourth := accepted(t, w, long(4), time.Second, third)
+		if !w.Until(20*time.Second, func() bool { return fourth.Accepted }) {
+			t.Fatal("not accepted")
+		}
+		w.Run(12 * time.Second)
+		w.HoldsWrites = true
+		writes := 0
+		w.Network = func(kind, _, _ string) fake.Fate { // the cancellation is written, and few of the ends
+			f := fake.Well()
+			if kind == "write" {
+				writes++
+				f.LoseRequest = writes > 1+step/4
+			}
+			return f
+		}
+		w.CancelEverywhere(first)
+		if !w.Until(5*time.Second, func() bool { return first.Cancelled }) {
+			t.Fatal("not told that it is cancelled")
+		}
+		w.Run(time.Duration(step%4) * 50 * time.Millisecond)
+		if l := w.Leader(); l != nil {
+			l.Crash()
+			w.After(5*time.Second, l.Start)
+		}
+		w.Network = nil
+		jobs := []*fake.Job{first, second, third, fourth}
+		for range 20 {
+			w.Run(200 * time.Millisecond)
+			for _, j := range jobs {
+				w.CloseLook(j)
+			}
+		}
+		pollFor(w, 40*time.Second)
+		check(t, w)
+		settled(t, w, jobs)
+		if first.Told != protocol.StatusCancelled {
+			t.Fatalf("the first is called %q", first.Told)
+		}
+	}
+}
+
+// Jobs that need the same one are submitted in the same millisecond at all nodes, some of
+// them twice; it is done, and known from the final records only, after every process
+// has been replaced.
+func TestPrerequisiteThatIsLongOver(t *testing.T) {
+	w := world(t)
+	done := w.Submit(job(1, protocol.Gang, 2), time.Second)
+	pollFor(w, 30*time.Second)
+	if done.Told != protocol.StatusDone {
+		t.Fatalf("the first is called %q", done.Told)
+	}
+	for _, n := range w.Nodes {
+		n.Crash()
+	}
+	w.Run(20 * time.Second)
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	if !w.Until(10*time.Second, func() bool { return w.Leader() != nil }) {
+		t.Fatal("nobody leads")
+	}
+	w.Run(time.Second)
+	statuses := map[int]int{}
+	for i, n := range w.Nodes {
+		for _, id := range []int{10, 10 + i} { // the first is submitted at each
+			s := job(id, protocol.Array, 1)
+			s.Prerequisites = []string{done.Sub.ID}
+			n.Ask(coordination.UserCall{Kind: coordination.Submit, Job: s.ID, Submit: &s}, func(r coordination.Reply) { statuses[r.Status]++ })
+		}
+	}
+	var jobs []*fake.Job
+	for i := range w.Nodes {
+		s := job(10+i, protocol.Array, 1)
+		s.Prerequisites = []string{done.Sub.ID}
+		jobs = append(jobs, w.Submit(s, time.Second))
+	}
+	pollFor(w, 30*time.Second)
+	if statuses[201] != len(jobs) || statuses[422] > 0 || statuses[400] > 0 {
+		t.Errorf("answers %v to %d jobs", statuses, len(jobs))
+	}
+	for _, j := range jobs {
+		if j.Told != protocol.StatusDone {
+			t.Errorf("%s is called %q", j.Sub.ID, j.Told)
+		}
+	}
+	check(t, w)
+}
+
+// The middle or the last job of a pipeline is cancelled just as the first one ends: the
+// first stays done, what comes after the cancelled one goes with it, and nothing else.
+func TestCancellationFurtherOnMeetsTheEndOfTheFirst(t *testing.T) {
+	for step := range 30 {
+		w := world(t)
+		spare(t, w)
+		jobs := pipeline(t, w, 1)
+		which := 1 + step%3
+		if !w.Until(60*time.Second, func() bool { return len(jobs[0].DoneTasks) == jobs[0].Sub.Tasks }) {
+			t.Fatal("the first job does not end")
+		}
+		w.Run(time.Duration(step/3) * 60 * time.Millisecond)
+		w.CancelEverywhere(jobs[which])
+		if step%2 == 0 {
+			w.After(200*time.Millisecond, func() {
+				if l := w.Leader(); l != nil {
+					l.Crash()
+					w.After(3*time.Second, l.Start)
+				}
+			})
+		}
+		for range 30 {
+			w.Run(150 * time.Millisecond)
+			for _, j := range jobs {
+				w.CloseLook(j)
+			}
+		}
+		pollFor(w, 60*time.Second)
+		check(t, w)
+		settled(t, w, jobs)
+		if jobs[0].Told != protocol.StatusDone || jobs[which].Told != protocol.StatusCancelled {
+			t.Fatalf("the first is called %q, the cancelled one %q", jobs[0].Told, jobs[which].Told)
+		}
+	}
+}
+
+// The write that accepts a job has no answer yet. A job that it needs is cancelled
+// meanwhile, and its user submits it again: it is cancelled with the other, once it is
+// accepted, and recorded once.
+func TestRepeatMeetsACancellationBeforeTheAcceptance(t *testing.T) {
+	for step := range 12 {
+		s := fake.Settings()
+		s.State.TxnOps = 1
+		w := worldOf(t, s)
+		spare(t, w)
+		first := job(1, protocol.Array, 1)
+		first.Class = strings.Repeat("c", 1400) // what needs it is on another page
+		needed := accepted(t, w, first, time.Hour)
+		runs(t, w, needed.Sub.ID, 1)
+		w.Run(3 * time.Second)
+		w.HoldsWrites = true
+		held := false
+		w.Network = func(kind, _, _ string) fake.Fate {
+			f := fake.Well()
+			if kind == "write" && !held {
+				held = true // the first is the acceptance
+				f.Request = 3 * time.Second
+			}
+			return f
+		}
+		j := accepted(t, w, job(2, protocol.Array, 1), time.Second, needed)
+		w.Until(time.Second, func() bool { return held })
+		w.CancelEverywhere(needed)
+		for range 20 + step {
+			w.Run(70 * time.Millisecond)
+			w.CloseLook(j)
+		}
+		pollFor(w, 20*time.Second)
+		if j.Told != protocol.StatusCancelled || !j.Accepted {
+			t.Fatalf("accepted %t, called %q", j.Accepted, j.Told)
+		}
+		for key, value := range pagesOf(w) {
+			var page storage.PageValue
+			if err := protocol.Decode(value, &page); err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range page.Jobs {
+				t.Errorf("%s still has the record of %s", key, r.ID)
+			}
+		}
+		check(t, w)
+	}
+}
--- a/internal/coordination/story_test.go
+++ b/internal/coordination/story_test.go
@@ -24,13 +24,15 @@
 func worldOf(t *testing.T, s config.Settings) *fake.World {
 	t.Helper()
 	w := fake.NewWorld(s)
-	w.Nodes[1].Crash()
-	w.Nodes[2].Crash()
+	for _, n := range w.Nodes[1:] {
+		n.Crash()
+	}
 	if !w.Until(5*time.Second, w.Nodes[0].Leads) {
 		t.Fatal("nobody leads")
 	}
-	w.Nodes[1].Start()
-	w.Nodes[2].Start()
+	for _, n := range w.Nodes[1:] {
+		n.Start()
+	}
 	return w
 }
 
--- a/internal/coordination/task.go
+++ b/internal/coordination/task.go
@@ -225,16 +225,8 @@
 		return
 	}
 	j.over = true
-	f := &final{storage.FinalRecord{ID: j.ID, Cancelled: j.Cancelled, Tasks: j.Tasks}}
 	now := e.n.now.Mono
-	e.store.Swap(now, j.blocks[0], f, w)
-	e.store.Touch(now, f, storage.OnCommit(func() {
-		e.finals[f.ID] = f
-		delete(e.jobs, f.ID)
-		if !f.Cancelled {
-			e.prerequisiteDone(f.ID)
-		}
-	}))
+	e.recordEnd(j, w)
 	for bn := 1; bn < j.blockCount(); bn++ {
 		if b := j.blocks[bn]; b != nil {
 			e.store.Remove(now, b, nil)
@@ -244,6 +236,29 @@
 	e.schedule = true
 }
 
+// recordEnd puts a job's end in the place of its record. The end of a cancelled job can
+// wait: its users hear the same before it is durable, also from a successor.
+func (e *engine) recordEnd(j *job, w *storage.CommitWait) {
+	f := &final{storage.FinalRecord{ID: j.ID, Cancelled: j.Cancelled, Tasks: j.Tasks}}
+	ended := func() {
+		e.finals[f.ID] = f
+		delete(e.jobs, f.ID)
+		if !f.Cancelled {
+			e.prerequisiteDone(f.ID)
+		}
+	}
+	wait := storage.OnCommit(ended)
+	if j.Cancelled {
+		wait = storage.OnCommitInBackground(ended)
+	}
+	if w == nil {
+		e.store.Swap(e.n.now.Mono, j.blocks[0], f, wait)
+		return
+	}
+	e.store.Swap(e.n.now.Mono, j.blocks[0], f, w)
+	e.store.Touch(e.n.now.Mono, f, wait)
+}
+
 // failed notes a task's error: a machine where different jobs fail is set
 // aside; a job that fails on different machines is retried ever more slowly.
 func (e *engine) failed(j *job, h *host) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -2,9 +2,11 @@
 
 import (
 	"maps"
+	"slices"
+
+	"oakpick/internal/config"
 	"oakpick/internal/protocol"
 	"oakpick/internal/storage"
-	"slices"
 )
 
 func (e *engine) user(c UserCall) {
@@ -69,7 +71,7 @@
 		return
 	}
 	if j := e.jobs[s.ID]; j != nil {
-		if j.over {
+		if j.settling() {
 			e.n.refuse(c.ID, "not settled yet")
 			return
 		}
@@ -125,10 +127,12 @@
 	}))
 }
 
-// behind tells whether a new record could not be committed while its user waits.
+// behind tells whether a new record could not be committed while its user waits. What is
+// only written in the background doesn't keep it waiting.
 func (e *engine) behind() bool {
-	pages, _ := e.store.Backlog(e.n.now.Mono)
-	return float64(pages) > e.n.cfg.Settings.State.Smallest().WriteRPS*e.opt.WriteShare*protocol.SubmitWaitS/2
+	const within = protocol.SubmitWaitS / 2.0
+	pages := e.store.Before(e.n.now.Mono + config.Seconds(within))
+	return float64(pages) > e.n.cfg.Settings.State.Smallest().WriteRPS*e.opt.WriteShare*within
 }
 
 // refuseAsking answers at once whoever waits for a commit that isn't to be
@@ -184,7 +188,7 @@
 		e.answerFinal(c.ID, f, true)
 	} else if j := e.jobs[c.Job]; j == nil {
 		e.reply(c.ID, 404, protocol.EncodeError("no such job"))
-	} else if !j.committed || j.over {
+	} else if !j.committed || j.settling() {
 		e.n.refuse(c.ID, "not settled yet")
 	} else {
 		e.answerJob(c.ID, 200, j, true)
@@ -201,7 +205,7 @@
 		e.reply(c.ID, 404, protocol.EncodeError("no such job"))
 		return
 	}
-	if j.over { // all its tasks are done; the record of that is under way
+	if j.settling() { // all its tasks are done; the record of that is under way
 		e.n.refuse(c.ID, "not settled yet")
 		return
 	}
--- a/internal/fake/pipelines.go
+++ b/internal/fake/pipelines.go
@@ -1,7 +1,7 @@
 package fake
 
 import (
-	"slices"
+	"maps"
 	"time"
 
 	"oakpick/internal/protocol"
@@ -18,28 +18,40 @@
 	return out
 }
 
-// ancestors are all jobs that a job needs, directly or through others.
-func (w *World) ancestors(j *Job) []*Job {
-	all := w.prerequisites(j)
-	for i := 0; i < len(all); i++ {
-		for _, p := range w.prerequisites(all[i]) {
-			if !slices.Contains(all, p) {
-				all = append(all, p)
-			}
-		}
+// ancestors are all jobs that a job needs, directly or through others. What a job names
+// never changes, so they are found once.
+func (w *World) ancestors(j *Job) map[*Job]bool {
+	if j.ancestors != nil {
+		return j.ancestors
+	}
+	all := map[*Job]bool{}
+	j.ancestors = all // a job that names itself, which is refused, comes to an end, too
+	for _, p := range w.prerequisites(j) {
+		all[p] = true
+		maps.Copy(all, w.ancestors(p))
 	}
 	return all
 }
 
+// some tells whether any of a set of jobs is as asked.
+func some(jobs map[*Job]bool, ok func(*Job) bool) bool {
+	for j := range jobs {
+		if ok(j) {
+			return true
+		}
+	}
+	return false
+}
+
 // calledOff tells whether a user has asked to cancel a job that this one needs.
 func (w *World) calledOff(j *Job) bool {
-	return slices.ContainsFunc(w.ancestors(j), func(p *Job) bool { return p.Cancel })
+	return some(w.ancestors(j), func(p *Job) bool { return p.Cancel })
 }
 
 // CancelledWith tells whether a user was told that a job that this one needs is
 // cancelled, so that this one is cancelled, too.
 func (w *World) CancelledWith(j *Job) bool {
-	return slices.ContainsFunc(w.ancestors(j), func(p *Job) bool { return p.Cancelled })
+	return some(w.ancestors(j), func(p *Job) bool { return p.Cancelled })
 }
 
 // checkPipeline checks what a user hears of a job against what was said of the jobs
@@ -47,7 +59,7 @@
 func (w *World) checkPipeline(j *Job, status string, asked time.Duration) {
 	ancestors := w.ancestors(j)
 	if status == protocol.StatusQueued || status == protocol.StatusRunning {
-		for _, p := range ancestors {
+		for p := range ancestors {
 			if p.Cancelled && asked > p.CancelAt+sec(w.Cfg.Settings.Workers.Cancel) {
 				w.fail("orphaned", "%s is called %s, and %s is cancelled", j.Sub.ID, status, p.Sub.ID)
 			}
@@ -60,13 +72,13 @@
 	for _, id := range w.jobNames {
 		d := w.Jobs[id]
 		needs := w.ancestors(d)
-		if !slices.Contains(needs, j) {
+		if !needs[j] {
 			continue
 		}
 		if status == protocol.StatusCancelled && d.Began {
 			w.fail("went_back", "%s is called cancelled, and %s, which needs it, has begun", j.Sub.ID, id)
 		}
-		other := d.Cancel || slices.ContainsFunc(needs, func(p *Job) bool { return p != j && p.Cancel })
+		other := d.Cancel || some(needs, func(p *Job) bool { return p != j && p.Cancel })
 		if status == protocol.StatusDone && d.Told == protocol.StatusCancelled && !other {
 			w.fail("went_back", "%s is done, and %s was called cancelled with it", j.Sub.ID, id)
 		}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -39,6 +39,7 @@
 	Cancelled bool // and was told that it is
 	Told      string
 	toldAt    time.Duration
+	ancestors map[*Job]bool // see World.ancestors
 	// AnsweredAt is when a question about it was last answered with 200; 0: never.
 	AnsweredAt time.Duration
 }
@@ -57,6 +58,8 @@
 	replies map[uint64]func(coordination.Reply)
 	// Paused until then: the process has no processor time.
 	PausedUntil time.Duration
+	// ClockOff is how far its time of day is ahead.
+	ClockOff time.Duration
 	// Old makes it run as the version in production would, as far as that shows in
 	// what it stores: see World.Production. It counts from the next start.
 	Old bool
@@ -140,13 +143,15 @@
 	}
 }
 
-// NewWorld makes a world with three controllers that have just started.
+// NewWorld makes a world with as many controllers as the settings say, which have just
+// started.
 func NewWorld(s config.Settings) *World {
 	w := &World{Cfg: &config.Config{Settings: s}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}}
 	w.State = newState(w, s.State)
 	w.Cloud = &Cloud{w: w, types: Types(), requests: map[string][]string{}, Most: 16}
-	for i := range 3 {
-		w.Nodes = append(w.Nodes, &Node{w: w, Name: "n" + strconv.Itoa(i), Index: i, drift: []float64{0, 0.0005, -0.0005}[i]})
+	drifts := []float64{0, 0.0005, -0.0005}
+	for i := range s.Size {
+		w.Nodes = append(w.Nodes, &Node{w: w, Name: "n" + strconv.Itoa(i), Index: i, drift: drifts[i%len(drifts)]})
 	}
 	for _, n := range w.Nodes {
 		n.Start()
@@ -226,11 +231,6 @@
 			cfg.Peers = append(cfg.Peers, config.Peer{Name: p.Name})
 		}
 	}
-	for i := range 3 { // before all are listed
-		if name := "n" + strconv.Itoa(i); len(n.w.Nodes) < 3 && name != n.Name {
-			cfg.Peers = append(cfg.Peers, config.Peer{Name: name})
-		}
-	}
 	n.Up, n.began, n.replies = true, n.w.Now, map[uint64]func(coordination.Reply){}
 	n.life++
 	n.node = coordination.New(&cfg, fmt.Sprintf("%s-%d", n.Name, n.life), n.w.seeds)
@@ -298,7 +298,7 @@
 		return
 	}
 	mono := time.Duration(float64(n.w.Now-n.began) * (1 + n.drift))
-	now := coordination.Now{Mono: mono, WallMs: n.w.Now.Milliseconds() + 1_000_000}
+	now := coordination.Now{Mono: mono, WallMs: (n.w.Now + n.ClockOff).Milliseconds() + 1_000_000}
 	for _, e := range n.node.Step(now, []any{command}) {
 		n.carryOut(e, command)
 	}
--- a/internal/storage/page.go
+++ b/internal/storage/page.go
@@ -26,17 +26,32 @@
 
 // CommitWait runs a function once so many pages have been committed.
 type CommitWait struct {
-	pending int
-	then    func()
-	patient bool
+	pending  int
+	then     func()
+	patience int // by how many retry times its pages may be written after others
 }
 
+// By how many retry times a page may be written later than one that somebody waits for.
+// What comes to it meanwhile shares its write.
+const (
+	soonRetries       = 5
+	backgroundRetries = 100
+)
+
 // OnCommit makes a wait; it is handed to Touch for every page that it waits for. A
 // user's answer or the start of a task depends on it.
 func OnCommit(then func()) *CommitWait { return &CommitWait{then: then} }
 
 // OnCommitLater makes a wait that nobody outside depends on: others go first.
-func OnCommitLater(then func()) *CommitWait { return &CommitWait{then: then, patient: true} }
+func OnCommitLater(then func()) *CommitWait {
+	return &CommitWait{then: then, patience: soonRetries}
+}
+
+// OnCommitInBackground makes a wait for something that a successor would conclude from
+// other records. It is written with what the budget leaves, for a while.
+func OnCommitInBackground(then func()) *CommitWait {
+	return &CommitWait{then: then, patience: backgroundRetries}
+}
 
 // page is one key of the state service and what belongs on it.
 type page struct {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -155,15 +155,12 @@
 	return p
 }
 
-// patienceRetries is by how many retry times a page that nobody waits for may be
-// written later than one that somebody does. What comes to it meanwhile shares its write.
-const patienceRetries = 5
-
 func (s *Store) markDirty(now time.Duration, p *page, w *CommitWait) {
-	due := now
-	if w == nil || w.patient {
-		due += patienceRetries * s.retry
+	patience := soonRetries
+	if w != nil {
+		patience = w.patience
 	}
+	due := now + time.Duration(patience)*s.retry
 	if !p.dirty {
 		p.dirty, p.since, p.due = true, now, due
 		s.dirty = append(s.dirty, p)
@@ -322,5 +319,16 @@
 	return len(s.dirty), now - since
 }
 
+// Before is how many pages have to be written before one that becomes due at a time.
+func (s *Store) Before(due time.Duration) int {
+	n := 0
+	for _, p := range s.dirty {
+		if p.due <= due {
+			n++
+		}
+	}
+	return n
+}
+
 // Pages is how many there are.
 func (s *Store) Pages() int { return len(s.pages) }
