Any number of prerequisites; users aren't kept waiting for writes that are refused

And while every write was refused (429 for 12 s), users who had asked got no answer for up to 13 s. Now long lists are kept in records of their own, written before the job. Half of a user's wait without any commit refuses at once whoever waits or comes. Stories: the old leader hangs through the roll, five controllers rolled two at a time, two zones that can't reach each other, 429 beyond a lease, the new records.

--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -63,7 +63,7 @@
 		e.fleetTick()
 	}
 	if e.n.engine == e {
-		if len(e.asking) > 0 && !e.n.certain() {
+		if len(e.asking) > 0 && (!e.n.certain() || e.stalled()) {
 			e.refuseAsking()
 		}
 		e.flush()
--- /dev/null
+++ b/internal/coordination/five_controllers_test.go
@@ -0,0 +1,110 @@
+package coordination_test
+
+import (
+	"testing"
+	"time"
+
+	"oakpick/internal/config"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+)
+
+// fiveControllers are settings like those of a deployment of five.
+func fiveControllers() config.Settings {
+	s := fake.Settings()
+	s.Size = 5
+	return s
+}
+
+// dayOfFive submits work of all shapes and a pipeline, and gives the pipeline.
+func dayOfFive(t *testing.T, w *fake.World) []*fake.Job {
+	t.Helper()
+	spread := service(50, 4)
+	spread.Spread, spread.CPUs = true, 2
+	w.Submit(spread, 0)
+	w.Submit(job(51, protocol.Gang, 3), 20*time.Second)
+	w.Submit(job(52, protocol.Array, 8), 6*time.Second)
+	return pipeline(t, w, 1)
+}
+
+// Two controllers at a time get the new version, also the leader, while workers move from
+// one controller to the next and a pipeline runs and is cancelled in the middle.
+func TestFiveControllersAreRolledTwoAtATime(t *testing.T) {
+	for _, pause := range []time.Duration{200 * time.Millisecond, 1500 * time.Millisecond, 5 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			s := fiveControllers()
+			s.State.Next = nextLimits(1, 3, 25)
+			w := worldOf(t, s)
+			spare(t, w)
+			jobs := dayOfFive(t, w)
+			w.Run(3 * time.Second)
+			lookClosely(w, jobs, 2*time.Second)
+			for _, pair := range [][2]int{{0, 1}, {2, 3}, {4, 0}} {
+				for _, i := range pair {
+					w.Nodes[i].Crash()
+					w.After(pause, w.Nodes[i].Start)
+				}
+				w.Run(pause/2 + 300*time.Millisecond)
+				if pair[0] == 2 {
+					w.CancelEverywhere(jobs[2])
+				}
+				w.Run(pause + 700*time.Millisecond)
+				w.PollAll()
+			}
+			w.State.Lower()
+			pollFor(w, 90*time.Second)
+			check(t, w)
+			served(t, w)
+			settled(t, w, jobs)
+		})
+	}
+}
+
+// Two zones can't reach each other, and both reach the controllers of the rest, the state
+// service and the cloud. The leader is in one of the two, or in neither, or ends meanwhile.
+func TestTwoZonesCannotReachEachOther(t *testing.T) {
+	for name, inZone := range map[string]map[string]string{
+		"leader in zone a": {"n0": "a", "n1": "a", "n2": "b"},
+		"leader in zone b": {"n0": "b", "n1": "a", "n2": "a"},
+		"leader elsewhere": {"n1": "a", "n2": "b", "n3": "b"},
+	} {
+		for _, crash := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				w := worldOf(t, fiveControllers())
+				spare(t, w)
+				jobs := dayOfFive(t, w)
+				w.Run(2 * time.Second)
+				zone := func(name string) string {
+					if w.Workers[name] != nil {
+						return w.ZoneOf(name)
+					}
+					return inZone[name]
+				}
+				w.Network = func(_, from, to string) fake.Fate {
+					f := fake.Well()
+					a, b := zone(from), zone(to)
+					f.LoseRequest = a == "a" && b == "b" || a == "b" && b == "a"
+					return f
+				}
+				w.After(4*time.Second, func() { w.CancelEverywhere(jobs[1]) })
+				if crash {
+					w.After(6*time.Second, w.Nodes[0].Crash)
+					w.After(14*time.Second, w.Nodes[0].Start)
+				}
+				for range 40 {
+					w.Run(time.Second)
+					for _, j := range jobs {
+						w.CloseLook(j)
+					}
+				}
+				w.Network = nil
+				pollFor(w, 90*time.Second)
+				check(t, w)
+				served(t, w)
+				settled(t, w, jobs)
+			})
+		}
+	}
+}
--- a/internal/coordination/formats_test.go
+++ b/internal/coordination/formats_test.go
@@ -204,6 +204,7 @@
 	return map[string]int{
 		"jobs": len(page.Jobs), "blocks": len(page.Blocks), "finals": len(page.Finals), "rentals": len(page.Rentals),
 		"options": len(page.Options), "extensions": len(page.Extensions),
+		"prerequisites": len(page.Prerequisites),
 	}
 }
 
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -21,8 +21,10 @@
 	within bool // its team's guarantee, as of the last pass
 
 	prerequisites []string // jobs that have to be done first, as its user named them
-	blockTasks    int      // how many tasks a block has
-	recordBlocks  bool     // that number is recorded, whatever the settings say later
+	parts         []*prerequisitesPart
+	recordsParts  bool // the parts aren't durable yet, and the job must not be recorded before
+	blockTasks    int  // how many tasks a block has
+	recordBlocks  bool // that number is recorded, whatever the settings say later
 	dependency    *dependency
 	readyMs       int64 // since when its times count: its submission, or the end of its last prerequisite
 
@@ -102,11 +104,22 @@
 
 // extension is what is recorded of a job beside its JobRecord, if anything.
 func (j *job) extension() (storage.JobExtension, bool) {
-	x := storage.JobExtension{Job: j.ID, Prerequisites: j.prerequisites}
+	x := storage.JobExtension{Job: j.ID}
+	if len(j.parts) == 0 {
+		x.Prerequisites = j.prerequisites
+	}
 	if j.recordBlocks {
 		x.BlockTasks = j.blockTasks
 	}
-	return x, j.recordBlocks || len(j.prerequisites) > 0
+	return x, j.recordBlocks || len(x.Prerequisites) > 0
+}
+
+// leastStarts is how many starts of a block have to be recordable at a time.
+func (j *job) leastStarts() int {
+	if j.Shape == protocol.Gang {
+		return j.blockLen(0)
+	}
+	return 1 // of an array or a service: the others can wait
 }
 
 // recordable tells whether one more start of a task's block fits the page that it is
@@ -190,6 +203,8 @@
 // settling tells whether the job is over, but its user can't be told: a successor might
 // come to another result. What is durably cancelled stays so, whether its end is written
 // or not.
-func (j *job) settling() bool { return j.over && !(j.Cancelled && j.committed) }
+func (j *job) settling() bool {
+	return j.over && !(j.Cancelled && j.committed) || j.recordsParts
+}
 
 func (j *job) saves() bool { return j.SaveEach > 0 }
--- /dev/null
+++ b/internal/coordination/late_controller_test.go
@@ -0,0 +1,96 @@
+package coordination_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"oakpick/internal/coordination"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+)
+
+// The leader of the version in production hangs through the whole roll, with requests
+// held and with writes on their way, and is ended at last. Its writes and its answers are
+// late: by then the others have the new version, the limits are lowered, pages are divided
+// and a pipeline is cancelled.
+func TestOldLeaderHangsThroughTheRoll(t *testing.T) {
+	for _, hang := range []time.Duration{2 * time.Second, 9 * time.Second, 25 * time.Second} {
+		for _, late := range []time.Duration{4 * time.Second, 12 * time.Second, 30 * time.Second} {
+			for _, resumes := range []bool{false, true} {
+				t.Run(fmt.Sprint(hang, " ", late, " ", resumes), func(t *testing.T) {
+					t.Parallel()
+					playHangingLeader(t, hang, late, resumes)
+				})
+			}
+		}
+	}
+}
+
+func playHangingLeader(t *testing.T, hang, late time.Duration, resumes bool) {
+	w := rolled(t)
+	large := job(1, protocol.Array, 70)
+	large.CPUs, large.Team = 0.5, "red"
+	w.Submit(large, 8*time.Second)
+	for i := range 20 {
+		s := service(100+i, 1)
+		s.CPUs = 0.1
+		w.Submit(s, 0)
+	}
+	called := w.Submit(service(2, 2), 0)
+	w.Run(25 * time.Second)
+	old := w.Leader()
+	w.HoldsWrites = true
+	w.Network = func(kind, from, to string) fake.Fate {
+		f := fake.Well()
+		if from == old.Name && old.Old && (kind == "write" || kind == "orders" || kind == "forward") {
+			f.Request = late
+		}
+		if to == old.Name && kind == "forward" {
+			f.Answer = late
+		}
+		return f
+	}
+	w.CancelEverywhere(called)
+	for i := range 8 { // several transactions are on their way when it hangs
+		w.Submit(job(200+i, protocol.Array, 2), 2*time.Second)
+	}
+	w.Run(200 * time.Millisecond)
+	old.PausedUntil = w.Now + 10*time.Minute
+	if resumes {
+		old.PausedUntil = w.Now + hang - 500*time.Millisecond
+	}
+	held := 0
+	for range 5 { // requests that it holds
+		old.Ask(coordination.UserCall{Kind: coordination.Poll, Job: called.Sub.ID}, func(coordination.Reply) { held++ })
+	}
+	for _, n := range w.Nodes {
+		if n != old {
+			w.Run(hang / 3)
+			upgrade(w, n, 400*time.Millisecond)
+		}
+	}
+	w.Run(hang)
+	old.PausedUntil = 0
+	upgrade(w, old, 500*time.Millisecond)
+	w.Run(time.Second)
+	w.State.Lower()
+	jobs := pipeline(t, w, 300)
+	w.CancelEverywhere(jobs[1])
+	for range 80 {
+		w.Run(500 * time.Millisecond)
+		for _, j := range jobs {
+			w.CloseLook(j)
+		}
+	}
+	pollFor(w, 120*time.Second)
+	check(t, w)
+	served(t, w)
+	settled(t, w, jobs)
+	if called.Told != protocol.StatusCancelled {
+		t.Errorf("the job that the hanging leader was asked to cancel is called %q", called.Told)
+	}
+	if resumes && held == 0 {
+		t.Error("the hanging leader answered nothing when it resumed")
+	}
+}
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -28,6 +28,7 @@
 		if err := e.loadBlocks(p); err != nil {
 			return nil, err
 		}
+		e.loadPrerequisites(p)
 	}
 	slices.SortStableFunc(e.order, func(a, b *job) int {
 		return cmp.Or(cmp.Compare(a.SubmittedMs, b.SubmittedMs), cmp.Compare(a.ID, b.ID))
@@ -136,6 +137,22 @@
 	return nil
 }
 
+// loadPrerequisites takes in the parts of long lists of prerequisites. Those of a job that
+// is on no page are left over from a leader that ended before it recorded the job.
+func (e *engine) loadPrerequisites(p storage.LoadedPage) {
+	for _, r := range p.Value.Prerequisites {
+		j := e.jobs[r.Job]
+		if j == nil {
+			e.store.LoadStale(e.n.now.Mono, p.Number)
+			continue
+		}
+		part := &prerequisitesPart{r}
+		j.parts = append(j.parts, part)
+		j.prerequisites = append(j.prerequisites, r.IDs...)
+		e.store.Load(p.Number, p.Version, part)
+	}
+}
+
 func (e *engine) loadBlocks(p storage.LoadedPage) error {
 	for _, r := range p.Value.Blocks {
 		j := e.jobs[r.Job]
--- a/internal/coordination/prerequisites.go
+++ b/internal/coordination/prerequisites.go
@@ -4,8 +4,49 @@
 	"slices"
 
 	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
 )
 
+// prerequisitesPart is a record of some of a job's prerequisites, if they are too many
+// for the page of the job itself.
+type prerequisitesPart struct{ storage.PrerequisitesRecord }
+
+// Emit writes it.
+func (p *prerequisitesPart) Emit(v *storage.PageValue) {
+	v.Prerequisites = append(v.Prerequisites, p.PrerequisitesRecord)
+}
+
+// Reserve is the space that it takes, which never changes.
+func (p *prerequisitesPart) Reserve() int { return p.Size() }
+
+// divide puts the prerequisites of a new job into records of their own if the job's page
+// can't take them.
+func (e *engine) divide(j *job) {
+	if (&block{job: j}).baseSize()+j.leastStarts()*storage.StartReserve <= e.store.MaxItem() {
+		return
+	}
+	for _, r := range storage.SplitPrerequisites(j.ID, j.prerequisites, e.store.MaxItem()) {
+		j.parts = append(j.parts, &prerequisitesPart{r})
+	}
+}
+
+// recordParts writes the records of a job's prerequisites, and goes on once all of them
+// are durable: so the job is never found with only some of its prerequisites.
+func (e *engine) recordParts(j *job, then func()) {
+	if len(j.parts) == 0 {
+		then()
+		return
+	}
+	j.recordsParts = true
+	wait := storage.OnCommitLater(func() {
+		j.recordsParts = false
+		then()
+	})
+	for _, p := range j.parts {
+		e.store.Touch(e.n.now.Mono, p, wait)
+	}
+}
+
 // waits tells whether a job has to wait for others. Such a job takes no part in
 // placement, limits, guarantees or renting, and is queued to its user.
 func (j *job) waits() bool { return j.dependency.waits() }
--- a/internal/coordination/task.go
+++ b/internal/coordination/task.go
@@ -221,7 +221,7 @@
 
 // settle closes a job that is over and has nothing on machines any more.
 func (e *engine) settle(j *job, w *storage.CommitWait) {
-	if j.over || len(j.tasks) > 0 || !j.Cancelled && j.done < j.Tasks || j.Cancelled && !j.cancelKnown {
+	if j.over || j.recordsParts || len(j.tasks) > 0 || !j.Cancelled && j.done < j.Tasks || j.Cancelled && !j.cancelKnown {
 		return
 	}
 	j.over = true
@@ -243,6 +243,9 @@
 	ended := func() {
 		e.finals[f.ID] = f
 		delete(e.jobs, f.ID)
+		for _, p := range j.parts {
+			e.store.Remove(e.n.now.Mono, p, nil)
+		}
 		if !f.Cancelled {
 			e.prerequisiteDone(f.ID)
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -110,6 +110,7 @@
 	e.n.Stats.Submitted++
 	j := e.newJob(storage.NewJobRecord(c.Submit, e.n.now.WallMs))
 	j.prerequisites = c.Submit.Prerequisites
+	e.divide(j)
 	cancelled := e.linkPrerequisites(j)
 	switch {
 	case cancelled:
@@ -119,20 +120,31 @@
 		e.schedule = true
 	}
 	e.asking[c.ID] = true
-	e.store.Touch(e.n.now.Mono, j.blocks[0], storage.OnCommit(func() {
-		j.committed = true
-		j.cancelKnown = j.cancelKnown || cancelled
-		e.answerJob(c.ID, 201, j, false)
-		e.settle(j, nil)
-	}))
+	e.recordParts(j, func() {
+		e.store.Touch(e.n.now.Mono, j.blocks[0], storage.OnCommit(func() {
+			j.committed = true
+			j.cancelKnown = j.cancelKnown || cancelled
+			e.answerJob(c.ID, 201, j, false)
+			e.settle(j, nil)
+		}))
+	})
 }
 
+// commitWithinS is within how many seconds a commit has to be expected for a user to wait
+// for it: half of the time that users wait leaves enough for the way there and back.
+const commitWithinS = protocol.SubmitWaitS / 2.0
+
 // behind tells whether a new record could not be committed while its user waits. What is
 // only written in the background doesn't keep it waiting.
 func (e *engine) behind() bool {
-	const within = protocol.SubmitWaitS / 2.0
-	pages := e.store.Before(e.n.now.Mono + config.Seconds(within))
-	return float64(pages) > e.n.cfg.Settings.State.Smallest().WriteRPS*e.opt.WriteShare*within
+	pages := e.store.Before(e.n.now.Mono + config.Seconds(commitWithinS))
+	return e.stalled() || float64(pages) > e.n.cfg.Settings.State.Smallest().WriteRPS*e.opt.WriteShare*commitWithinS
+}
+
+// stalled tells whether the state service has taken no write for so long that nobody
+// should wait for one.
+func (e *engine) stalled() bool {
+	return e.store.Stalled(e.n.now.Mono) > config.Seconds(commitWithinS)
 }
 
 // refuseAsking answers at once whoever waits for a commit that isn't to be
@@ -172,13 +184,9 @@
 	if t.CPUsMax > 0 && whole.cpus > t.CPUsMax+slack || t.GPUsMax > 0 && whole.gpus > t.GPUsMax+slack {
 		return "needs more than the team's limit"
 	}
-	probe := &job{e: e, JobRecord: storage.NewJobRecord(s, e.n.now.WallMs), prerequisites: s.Prerequisites, blockTasks: e.rules.blockTasks, recordBlocks: true}
-	starts := 1 // at a time, of an array or a service: the others can wait
-	if s.Shape == protocol.Gang {
-		starts = probe.blockLen(0)
-	}
-	if (&block{job: probe}).baseSize()+starts*storage.StartReserve > e.store.MaxItem() {
-		return "its description and its prerequisites are too long to be kept"
+	probe := &job{e: e, JobRecord: storage.NewJobRecord(s, e.n.now.WallMs), blockTasks: e.rules.blockTasks, recordBlocks: true}
+	if (&block{job: probe}).baseSize()+probe.leastStarts()*storage.StartReserve > e.store.MaxItem() {
+		return "its description is too long to be kept"
 	}
 	return ""
 }
--- /dev/null
+++ b/internal/coordination/write_rate_test.go
@@ -0,0 +1,90 @@
+package coordination_test
+
+import (
+	"testing"
+	"time"
+
+	"oakpick/internal/coordination"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+)
+
+// The state service refuses every write of a page (429) for longer than a worker's lease,
+// while users submit at several times the rate, and cancel. The leader stays, since its
+// renewals aren't refused; nothing that runs is lost; whoever can't be served is told so
+// at once, with a time to come back; and once writes are taken again the cancellations
+// don't wait behind new work.
+func TestWritesAreRefusedForLongerThanALease(t *testing.T) {
+	w := worldOf(t, smallestBudgets())
+	spare(t, w)
+	standing := w.Submit(service(1, 2), 0)
+	runs(t, w, standing.Sub.ID, 2)
+	var called []*fake.Job
+	for i := range 8 {
+		s := service(10+i, 1)
+		s.CPUs = 0.1
+		called = append(called, accepted(t, w, s, 0))
+	}
+	for _, j := range called {
+		runs(t, w, j.Sub.ID, 1)
+	}
+	after := accepted(t, w, job(30, protocol.Array, 1), time.Hour)
+	dependent := accepted(t, w, job(31, protocol.Array, 1), time.Second, after)
+	w.Run(5 * time.Second)
+	terms, lost := w.Nodes[0].Stats().Terms, w.Nodes[0].Stats().Lost
+	w.State.RefuseWrites = true
+	from := w.Now
+	id, slowest, refused, answers := 1000, time.Duration(0), 0, 0
+	for second := range 25 {
+		for range 30 {
+			id++
+			s, asked := job(id, protocol.Array, 1), w.Now
+			s.CPUs = 0.1
+			// Its user asks only once, but its tasks are known to the workers.
+			w.Jobs[s.ID] = &fake.Job{Sub: s, Run: 100 * time.Millisecond, Saved: map[int]time.Duration{}, DoneTasks: map[int]bool{}}
+			w.Nodes[0].Ask(coordination.UserCall{Kind: coordination.Submit, Job: s.ID, Submit: &s}, func(r coordination.Reply) {
+				answers++
+				slowest = max(slowest, w.Now-asked)
+				if r.Status == 503 && r.RetryAfter > 0 {
+					refused++
+				}
+			})
+			w.Run(1 * time.Second / 30)
+		}
+		if second == 3 {
+			for _, j := range called {
+				w.CancelJob(j)
+			}
+			w.CancelJob(after)
+		}
+		if w.Now-from > 12*time.Second { // longer than a worker's lease
+			w.State.RefuseWrites = false
+		}
+		if second == 14 {
+			for _, j := range append(called, after) {
+				if j.Told != protocol.StatusCancelled {
+					t.Errorf("%s is called %q a second after writes are taken again", j.Sub.ID, j.Told)
+				}
+			}
+		}
+	}
+	if s := w.Nodes[0].Stats(); s.Terms != terms || s.Lost != lost || !w.Nodes[0].Leads() {
+		t.Errorf("%d terms, %d tasks lost", s.Terms-terms, s.Lost-lost)
+	}
+	if slowest > 3*time.Second || refused == 0 {
+		t.Errorf("the slowest answer took %v; %d of %d were refused", slowest, refused, answers)
+	}
+	// What was refused for want of writes wasn't taken in, to be written all the same.
+	open, ended := recordedJobs(t, pagesOf(w))
+	if n := len(open) + len(ended); n > answers-refused/2 {
+		t.Errorf("%d jobs are recorded, %d of %d submissions were refused", n, refused, answers)
+	}
+	pollFor(w, 60*time.Second)
+	if again := w.Submit(job(40, protocol.Array, 1), time.Second); !w.Until(time.Second, func() bool { return again.Accepted }) {
+		t.Error("a submission is not accepted, though writes are taken again")
+	}
+	if w.Running(standing.Sub.ID) != 2 || dependent.Told != protocol.StatusCancelled {
+		t.Errorf("%d of 2 replicas run; the dependent is called %q", w.Running(standing.Sub.ID), dependent.Told)
+	}
+	check(t, w)
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -16,6 +16,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"oakpick/internal/config"
+	"oakpick/internal/coordination"
 	"oakpick/internal/protocol"
 	"oakpick/internal/storage"
 )
@@ -49,6 +50,8 @@
 	// lowered.
 	RefusedForSize int
 	lowered        bool
+	// RefuseWrites has every write of a page refused for the rate (429).
+	RefuseWrites bool
 }
 
 func newState(w *World, limits config.State) *State {
@@ -206,6 +209,10 @@
 		r.Outcome = storage.Lost // an answer that the protocol doesn't list
 		return r
 	}
+	if s.RefuseWrites && len(c.Txn.Then) > 0 && c.Txn.Then[0].Put != coordination.LeaderKey {
+		r.Outcome = storage.Refused
+		return r
+	}
 	// The write rate counts puts, with a burst of one second's worth.
 	s.puts = slices.DeleteFunc(s.puts, func(at time.Duration) bool { return s.w.Now-at >= time.Second })
 	if len(s.puts)+len(c.Txn.Then) > int(2*s.limits.WriteRPS) {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -747,6 +747,9 @@
 // KindOf is a machine's type.
 func (w *World) KindOf(name string) string { return w.Workers[name].m.Type }
 
+// ZoneOf is a machine's zone.
+func (w *World) ZoneOf(name string) string { return w.Workers[name].m.Zone }
+
 // Session is a worker's present session.
 func (w *World) Session(name string) int64 { return w.Workers[name].session }
 
--- a/internal/storage/read.go
+++ b/internal/storage/read.go
@@ -59,7 +59,10 @@
 func extensionKey(r JobExtension) recordKey { return recordKey{"extension", r.Job, 0} }
 func blockKey(r BlockRecord) recordKey      { return recordKey{"block", r.Job, r.Block} }
 func finalKey(r FinalRecord) recordKey      { return recordKey{"final", r.ID, 0} }
-func rentalKey(r RentalRecord) recordKey    { return recordKey{"rental", r.Request, 0} }
+func prerequisitesKey(r PrerequisitesRecord) recordKey {
+	return recordKey{"prerequisites", r.Job, r.Part}
+}
+func rentalKey(r RentalRecord) recordKey { return recordKey{"rental", r.Request, 0} }
 
 // copies knows the version of the page that has the newest copy of each record.
 type copies map[recordKey]int64
@@ -88,6 +91,9 @@
 	for _, r := range v.Extensions {
 		keys = append(keys, extensionKey(r))
 	}
+	for _, r := range v.Prerequisites {
+		keys = append(keys, prerequisitesKey(r))
+	}
 	for _, r := range v.Blocks {
 		keys = append(keys, blockKey(r))
 	}
@@ -110,6 +116,9 @@
 	over := func(job string) bool { return c[recordKey{"final", job, 0}] > 0 }
 	v.Jobs = keep(p, v.Jobs, func(r JobRecord) bool { return c[jobKey(r)] == p.Version && !over(r.ID) })
 	v.Extensions = keep(p, v.Extensions, func(r JobExtension) bool { return c[extensionKey(r)] == p.Version && !over(r.Job) })
+	v.Prerequisites = keep(p, v.Prerequisites, func(r PrerequisitesRecord) bool {
+		return c[prerequisitesKey(r)] == p.Version && !over(r.Job)
+	})
 	v.Blocks = keep(p, v.Blocks, func(r BlockRecord) bool { return c[blockKey(r)] == p.Version })
 	v.Finals = keep(p, v.Finals, func(r FinalRecord) bool { return c[finalKey(r)] == p.Version })
 	v.Rentals = keep(p, v.Rentals, func(r RentalRecord) bool { return c[rentalKey(r)] == p.Version })
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -125,6 +125,17 @@
 	Prerequisites []string
 }
 
+// PrerequisitesRecord is a part of the prerequisites of a job that has more of them than
+// fit its page: its extension has none then. The parts are written before the job is.
+type PrerequisitesRecord struct {
+	//lint:ignore U1000 read by the MessagePack library
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Job  string
+	Part int
+	IDs  []string
+}
+
 // PageValue is what a page's key holds.
 type PageValue struct {
 	ID      string         `msgpack:"id"` // of the write that made it
@@ -135,6 +146,8 @@
 	Options string         `msgpack:"o,omitempty"` // what operators have changed, as JSON
 
 	Extensions []JobExtension `msgpack:"x,omitempty"`
+
+	Prerequisites []PrerequisitesRecord `msgpack:"p,omitempty"`
 }
 
 // NewJobRecord describes a submission.
--- a/internal/storage/size.go
+++ b/internal/storage/size.go
@@ -66,6 +66,27 @@
 	return brackets + textSize(r.Job) + integerSize(int64(r.BlockTasks)) + textSizes(r.Prerequisites...)
 }
 
+// Size is the space that a part of a job's prerequisites takes.
+func (r *PrerequisitesRecord) Size() int {
+	const brackets = 5
+	return brackets + textSize(r.Job) + integerSize(int64(r.Part)) + textSizes(r.IDs...)
+}
+
+// SplitPrerequisites divides a job's prerequisites into records of no more than so many
+// bytes.
+func SplitPrerequisites(job string, ids []string, most int) []PrerequisitesRecord {
+	var parts []PrerequisitesRecord
+	for _, id := range ids {
+		last := len(parts) - 1
+		if last < 0 || parts[last].Size()+textSize(id) > most {
+			parts = append(parts, PrerequisitesRecord{Job: job, Part: len(parts)})
+			last++
+		}
+		parts[last].IDs = append(parts[last].IDs, id)
+	}
+	return parts
+}
+
 // Size is the space that a start takes.
 func (r *StartRecord) Size() int {
 	const brackets = 3
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -56,8 +56,9 @@
 	prefix  string
 	counter int64
 	retry   time.Duration
-	resume  time.Duration // no new transaction before, after a refusal
-	lowered bool          // the state service has lowered its limits for certain
+	resume  time.Duration  // no new transaction before, after a refusal
+	stalled *time.Duration // when a transaction came to nothing and none was committed since
+	lowered bool           // the state service has lowered its limits for certain
 
 	unchecked []*page // read at the take-over, not yet known to fit the limits
 	sorted    bool
@@ -283,6 +284,7 @@
 
 // Committed notes that a transaction was committed with a version.
 func (s *Store) Committed(w *Write, version int64) {
+	s.stalled = nil
 	s.writes = slices.DeleteFunc(s.writes, func(x *Write) bool { return x == w })
 	if w.guard != nil {
 		w.guard.inFlight = false
@@ -303,10 +305,22 @@
 // one is sent again later. Nothing new is begun before that: a state service that
 // refuses writes beyond its rate must not be asked for more.
 func (s *Store) Retry(now time.Duration, w *Write) {
+	if s.stalled == nil {
+		s.stalled = &now
+	}
 	w.sent, w.again = false, now+s.retry
 	s.resume = max(s.resume, w.again)
 }
 
+// Stalled is for how long transactions have come to nothing, refused or not answered,
+// with none committed in between.
+func (s *Store) Stalled(now time.Duration) time.Duration {
+	if s.stalled == nil {
+		return 0
+	}
+	return now - *s.stalled
+}
+
 // InFlight tells whether a transaction is under way.
 func (s *Store) InFlight() bool { return len(s.writes) > 0 }
 
--- a/internal/storage/validate.go
+++ b/internal/storage/validate.go
@@ -43,6 +43,11 @@
 			return damaged("rental "+r.Request, "%d machines", r.Count)
 		}
 	}
+	for _, r := range v.Prerequisites {
+		if r.Job == "" || r.Part < 0 {
+			return damaged("the prerequisites of job "+r.Job, "part %d", r.Part)
+		}
+	}
 	for _, r := range v.Extensions {
 		if r.Job == "" || r.BlockTasks < 0 || r.BlockTasks > protocol.MaxTasks {
 			return damaged("the extension of job "+r.Job, "blocks of %d tasks", r.BlockTasks)
--- a/internal/storage/validate_test.go
+++ b/internal/storage/validate_test.go
@@ -48,6 +48,8 @@
 		"rental without name":    {Rentals: []RentalRecord{{Count: 1}}},
 		"rental of too many":     {Rentals: []RentalRecord{{Request: "r", Count: protocol.MaxRented + 1}}},
 		"extension without job":  {Extensions: []JobExtension{{BlockTasks: 1}}},
+		"prerequisites of none":  {Prerequisites: []PrerequisitesRecord{{IDs: []string{"wk-2"}}}},
+		"negative part":          {Prerequisites: []PrerequisitesRecord{{Job: "wk-1", Part: -1}}},
 		"negative block length":  {Extensions: []JobExtension{{Job: "wk-1", BlockTasks: -1}}},
 		"a record that's double": {Finals: []FinalRecord{{ID: "wk-1", Tasks: 1}, {ID: "wk-1", Tasks: 2}}},
 	} {
