Commands and effects are sealed, typed interfaces; names of the field in coordination

Step takes commands and gives effects of types that only coordination can add to, a request numbers itself, and the daemon and the stand-ins no longer repeat which of them have an id. Names: leader key check, commands due, confirm a cancellation, yield the term, records. Nothing else changes.

--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -25,19 +25,19 @@
 	byName  []*host
 	gone    map[string]time.Duration // machines returned, by when
 
-	writes    map[uint64]*storage.Write // by the call that carries them, or asks about them
-	drain     bool                      // no new writes: the token is to be raised
-	asking    map[uint64]bool           // users' requests that wait for a commit
-	raising   *protocol.Txn
-	raiseSent bool
-	raiseNext time.Duration
-	raiseRev  int64
-	raisedAt  time.Duration
-	moveAt    time.Duration
-	hostsAt   time.Duration // when all machines are looked at next
-	woken     []*host       // machines that are to be told something
-	pass      pass
-	passAt    time.Duration // no placement pass before
+	writes      map[uint64]*storage.Write // by the call that carries them, or asks about them
+	drain       bool                      // no new writes: the token is to be raised
+	asking      map[uint64]bool           // users' requests that wait for a commit
+	raising     *protocol.Txn
+	raiseSent   bool
+	raiseNext   time.Duration
+	raiseRev    int64
+	raisedAt    time.Duration
+	moveAt      time.Duration
+	hostsAt     time.Duration // when all machines are looked at next
+	commandsDue []*host       // machines that are to be told something
+	pass        pass
+	passAt      time.Duration // no placement pass before
 
 	schedule     bool // something changed that may let a task start
 	fleet        fleet
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -99,7 +99,7 @@
 				Request: r.Request, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: r.Count,
 			}}, cloudCall{op: CloudRent, rental: r})
 		}
-		if r.Answered && !slices.ContainsFunc(r.Hosts, e.unheard) {
+		if r.Answered && !slices.ContainsFunc(r.Hosts, e.knownOnlyByRental) {
 			f.rentals = slices.DeleteFunc(f.rentals, func(x *rental) bool { return x == r })
 			e.store.Remove(now, r, nil)
 		}
@@ -123,7 +123,7 @@
 	}
 	e.schedule = e.schedule || len(f.unplaced) > 0
 	need := e.plan()
-	e.giveBack(need)
+	e.returnUnneeded(need)
 }
 
 // say sums the fleet up, a line for each kind of machine.
@@ -173,8 +173,8 @@
 	}
 }
 
-// unheard tells whether a rented machine is known from nowhere but its rental.
-func (e *engine) unheard(name string) bool {
+// knownOnlyByRental tells whether a rented machine is known from nowhere but its rental.
+func (e *engine) knownOnlyByRental(name string) bool {
 	if _, gone := e.gone[name]; gone {
 		return false
 	}
--- a/internal/coordination/gap_test.go
+++ b/internal/coordination/gap_test.go
@@ -24,7 +24,7 @@
 	oneWay    bool          // the old leader still reaches the others, and hears their answers
 	noOrders  bool          // direct commands don't arrive any more
 	slow      bool          // answers of the state service take a second from before
-	unread    bool          // what it says of the books is lost to whoever takes over
+	unread    bool          // what it says of the records is lost to whoever takes over
 	unknowing bool          // so are its answers to whoever takes the term
 	ends      time.Duration
 	again     time.Duration // and after so long that process is back
@@ -147,10 +147,10 @@
 		"plain":                                        {},
 		"old leader alone":                             {peersCut: true},
 		"slow answers":                                 {slow: true},
-		"books not read":                               {unread: true},
+		"records not read":                             {unread: true},
 		"term not known":                               {unknowing: true},
 		"term not known, alone":                        {unknowing: true, peersCut: true},
-		"books not read, alone":                        {unread: true, peersCut: true},
+		"records not read, alone":                      {unread: true, peersCut: true},
 		"new leader ends":                              {ends: 6 * time.Second},
 		"new leader ends, alone":                       {ends: 6 * time.Second, peersCut: true},
 		"new leader is back at once":                   {ends: 5 * time.Second, again: 200 * time.Millisecond, peersCut: true},
--- a/internal/coordination/hold_test.go
+++ b/internal/coordination/hold_test.go
@@ -53,7 +53,7 @@
 }
 
 // The state service refuses the leader alone; another takes the term, and before it
-// has read the books the service is down for all, for much longer than a lease. It
+// has read the records the service is down for all, for much longer than a lease. It
 // asks nobody to let go for that, and nobody has told or started anything: what
 // runs is kept, and when the outage is over a job can be cancelled.
 func TestSuccessorThatCannotReadTheBooks(t *testing.T) {
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -30,18 +30,18 @@
 	tasks   []*task
 	used    need                  // what they take
 	leaving need                  // of that, what stopping ones are about to leave
-	others  []protocol.TaskReport // on the machine, but not in the books
+	others  []protocol.TaskReport // on the machine, but not in the records
 	forget  map[protocol.Attempt]forgetting
 
-	call     uint64 // the direct command under way
-	callAt   time.Duration
-	starts   []*task // that it carries
-	wake     bool    // something is to be sent
-	queued   bool    // and it is among the engine's woken
-	next     time.Duration
-	fails    int
-	doubtTok int64 // highest token with which a start may yet arrive
-	doubtAt  time.Duration
+	call        uint64 // the direct command under way
+	callAt      time.Duration
+	starts      []*task // that it carries
+	commandsDue bool    // something is to be sent
+	queued      bool    // and it is among the engine's commandsDue
+	next        time.Duration
+	fails       int
+	doubtTok    int64 // highest token with which a start may yet arrive
+	doubtAt     time.Duration
 
 	noticeAt   time.Duration // when the cloud takes it; 0: not known to
 	pauseUntil time.Duration
@@ -89,7 +89,7 @@
 	if f, ok := h.forget[a]; ok {
 		f.durable = true
 		h.forget[a] = f
-		e.wake(h)
+		e.queueCommands(h)
 	}
 }
 
@@ -177,7 +177,7 @@
 	e.tasksOf(h, r)
 }
 
-// tasksOf compares a report with the books.
+// tasksOf compares a report with the records.
 func (e *engine) tasksOf(h *host, r *protocol.Report) {
 	now := e.n.now.Mono
 	h.others = h.others[:0]
@@ -188,7 +188,7 @@
 		if t == nil {
 			h.others = append(h.others, tr)
 			if tr.State != protocol.Exited {
-				e.wake(h)
+				e.queueCommands(h)
 			} else if _, ok := h.forget[tr.Attempt]; !ok {
 				// Nothing is known of it: an earlier leader's, or long settled.
 				h.forget[tr.Attempt] = forgetting{durable: true, token: e.token, since: now}
--- a/internal/coordination/lapse.go
+++ b/internal/coordination/lapse.go
@@ -40,7 +40,7 @@
 		}
 		for _, t := range h.tasks {
 			if t.stopping && t.stopSent > 0 && now-t.stopSent > e.rules.report {
-				e.wake(h)
+				e.queueCommands(h)
 				if t.grace > 0 && now-t.stopAt > time.Duration((t.grace+2*t.job.SaveTime)*float64(time.Second))+2*e.rules.report {
 					t.grace = 0
 				}
@@ -64,7 +64,7 @@
 	// know no other that would answer them. Another has to lead before their
 	// leases run out.
 	if live >= silentLeast && silent*8 > live*7 {
-		n.giveUp("no worker is heard any more")
+		n.yieldTerm("no worker is heard any more")
 	}
 }
 
@@ -79,11 +79,11 @@
 	return max(base, h.sessionAt) + e.rules.lease
 }
 
-// mayTell tells whether the user of a cancelled job may hear that it is. Its
+// canConfirmCancellation tells whether the user of a cancelled job may hear that it is. Its
 // tasks have to be gone in time, also on a machine that only a predecessor
 // reaches, which knows nothing of it and may answer for its hold: until a worker
 // has seen our token, or its lease will lapse in time, the user is to come back.
-func (e *engine) mayTell(j *job) bool {
+func (e *engine) canConfirmCancellation(j *job) bool {
 	base := e.n.lapseBase()
 	for _, t := range j.tasks {
 		if h := t.host; h.token < e.firstT && h.lapses(e, base) > e.n.now.Mono+e.rules.cancelWithin {
--- a/internal/coordination/leadership_test.go
+++ b/internal/coordination/leadership_test.go
@@ -31,14 +31,14 @@
 func TestAnswerFromAnEarlierReign(t *testing.T) {
 	settings := fake.Settings()
 	n := coordination.New(&config.Config{Node: "n0", Settings: settings}, "boot", 1)
-	var held, renewal storage.StateCall
+	var held, renewal coordination.StateCall
 	term, writes := int64(0), 0
 	now := coordination.Now{}
-	var give func(commands ...any)
-	give = func(commands ...any) {
+	var give func(commands ...coordination.Command)
+	give = func(commands ...coordination.Command) {
 		now.Mono += time.Millisecond
 		for _, effect := range n.Step(now, commands) {
-			c, ok := effect.(storage.StateCall)
+			c, ok := effect.(coordination.StateCall)
 			if !ok {
 				continue
 			}
@@ -61,7 +61,7 @@
 			default:
 				r.Number = 7
 			}
-			give(r)
+			give(coordination.StateResult{StateResult: r})
 		}
 	}
 	leads := func() bool { return n.Role() == "leader" }
@@ -77,7 +77,7 @@
 	if writes != 1 || held.ID == 0 {
 		t.Fatalf("%d writes, %+v looked at", writes, held)
 	}
-	give(storage.StateResult{ID: renewal.ID, Outcome: storage.NotFound})
+	give(coordination.StateResult{StateResult: storage.StateResult{ID: renewal.ID, Outcome: storage.NotFound}})
 	if leads() {
 		t.Fatal("leads without a lease")
 	}
@@ -85,7 +85,7 @@
 	if !leads() || term != 20 {
 		t.Fatalf("does not lead again, term %d", term)
 	}
-	give(storage.StateResult{ID: held.ID, Entry: protocol.Entry{Key: held.Key, Version: 3}})
+	give(coordination.StateResult{StateResult: storage.StateResult{ID: held.ID, Entry: protocol.Entry{Key: held.Key, Version: 3}}})
 	if !leads() {
 		t.Error("the late answer ended the new term")
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -6,158 +6,9 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"oakpick/internal/config"
 	"oakpick/internal/protocol"
-	"oakpick/internal/storage"
-)
-
-// Now is the time of a step: the steady clock since the process began, and the
-// time of day in milliseconds.
-type Now struct {
-	Mono   time.Duration
-	WallMs int64
-}
-
-// Outcome is how a call to another component ended.
-type Outcome = storage.Outcome
-
-// Outcomes.
-const (
-	OK       = storage.OK
-	Conflict = storage.Conflict
-	NotFound = storage.NotFound
-	Invalid  = storage.Invalid
-	Refused  = storage.Refused
-	NotSent  = storage.NotSent
-	Lost     = storage.Lost
-)
-
-type (
-	// StateCall is a call to the state service.
-	StateCall = storage.StateCall
-	// StateResult answers a StateCall.
-	StateResult = storage.StateResult
-)
-
-// Commands that go into Step.
-type (
-	// UserCall is a request of a user.
-	UserCall struct {
-		ID     uint64
-		Kind   UserKind
-		Job    string
-		Submit *protocol.Submission
-	}
-	// ReportCall is a report of a worker.
-	ReportCall struct {
-		ID     uint64
-		Report *protocol.Report
-	}
-	// StepDownCall is a new leader's question.
-	StepDownCall struct {
-		ID     uint64
-		Term   int64
-		Leader string
-	}
-	// CloudResult answers a CloudCall.
-	CloudResult struct {
-		ID      uint64
-		Outcome Outcome
-		Types   []protocol.MachineType
-		List    protocol.MachineList
-		Hosts   []string
-	}
-	// OrdersResult answers an OrdersCall: OK, Conflict (nothing executed), NotSent or Lost.
-	OrdersResult struct {
-		ID      uint64
-		Host    string
-		Outcome Outcome
-		Report  *protocol.Report
-	}
-	// PeerResult answers a PeerCall.
-	PeerResult struct {
-		PeerCall
-		protocol.StepDownAnswer
-	}
-	// Tick lets time pass.
-	Tick struct{}
-)
-
-// UserKind is what a user asks.
-type UserKind uint8
-
-// What users ask.
-const (
-	Submit UserKind = iota
-	Poll
-	Cancel
-)
-
-// Effects that come out of Step.
-type (
-	// Reply answers a UserCall, ReportCall or StepDownCall.
-	Reply struct {
-		ID         uint64
-		Status     int
-		Body       []byte
-		RetryAfter int  // seconds; 0: not said
-		Close      bool // the user had better come back on a new connection, which may lead elsewhere
-	}
-	// Forward hands a UserCall to the leader.
-	Forward struct {
-		ID   uint64
-		Peer string
-	}
-	// CloudCall asks the cloud.
-	CloudCall struct {
-		ID     uint64
-		Op     CloudOp
-		After  string
-		Rental protocol.Rental
-		Hosts  []string
-	}
-	// OrdersCall sends commands straight to a worker.
-	OrdersCall struct {
-		ID             uint64
-		Host, Addr     string
-		Token, Session int64
-		Commands       []protocol.Command
-	}
-	// PeerCall asks a peer to let go of terms below Term.
-	PeerCall struct {
-		Peer  string
-		Term  int64
-		Asked time.Duration // when
-	}
-	// Log is a line for the operator.
-	Log struct {
-		Level LogLevel
-		Text  string
-		Args  []any
-	}
-)
-
-// CloudOp is a request to the cloud.
-type CloudOp uint8
-
-// Requests to the cloud.
-const (
-	CloudTypes CloudOp = iota
-	CloudList
-	CloudRent
-	CloudReturn
-)
-
-// LogLevel is how much a line matters.
-type LogLevel uint8
-
-// Levels.
-const (
-	Debug LogLevel = iota
-	Info
-	Error
 )
 
 // Node is one controller.
@@ -165,7 +16,7 @@
 	cfg    *config.Config
 	rules  Rules
 	now    Now
-	out    []any
+	out    []Effect
 	nextID uint64
 	rng    *rand.Rand
 	boot   string // tells this process from earlier ones of the same node
@@ -207,7 +58,7 @@
 }
 
 // Step takes a batch of commands and gives what is to be done about them.
-func (n *Node) Step(now Now, commands []any) []any {
+func (n *Node) Step(now Now, commands []Command) []Effect {
 	n.now, n.out = now, nil
 	if n.engine != nil && n.holdOver() {
 		// The process stood still. What has come meanwhile must not be answered as
@@ -224,7 +75,7 @@
 	return n.out
 }
 
-func (n *Node) emit(effect any) { n.out = append(n.out, effect) }
+func (n *Node) emit(effect Effect) { n.out = append(n.out, effect) }
 
 func (n *Node) log(level LogLevel, text string, args ...any) {
 	n.emit(Log{Level: level, Text: text, Args: args})
@@ -236,7 +87,7 @@
 	n.emit(Reply{ID: id, Status: 503, Body: protocol.EncodeError(why), RetryAfter: 1})
 }
 
-func (n *Node) handle(c any) {
+func (n *Node) handle(c Command) {
 	switch c := c.(type) {
 	case UserCall:
 		n.user(c)
@@ -247,7 +98,7 @@
 	case AdminCall:
 		n.admin(c)
 	case StateResult:
-		n.stateResult(c)
+		n.stateResult(c.StateResult)
 	case CloudResult:
 		if n.engine != nil {
 			n.engine.cloudResult(c)
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -43,32 +43,32 @@
 	return out
 }
 
-// wake notes that a machine is to be told something.
-func (e *engine) wake(h *host) {
-	h.wake = true
+// queueCommands notes that there are commands for a machine.
+func (e *engine) queueCommands(h *host) {
+	h.commandsDue = true
 	if !h.queued {
 		h.queued = true
-		e.woken = append(e.woken, h)
+		e.commandsDue = append(e.commandsDue, h)
 	}
 }
 
 // sendOrders sends what machines are to be told at once. Those that can't be
-// told now stay among the woken.
+// told now stay among the commandsDue.
 func (e *engine) sendOrders() {
 	n, now := e.n, e.n.now.Mono
-	woken := e.woken
-	e.woken = e.woken[:0]
-	for _, h := range woken {
+	commandsDue := e.commandsDue
+	e.commandsDue = e.commandsDue[:0]
+	for _, h := range commandsDue {
 		n.Stats.HostsSeen++
-		if h.wake && (h.call != 0 || now < h.next || !h.up || h.session <= h.dead) {
-			e.woken = append(e.woken, h)
+		if h.commandsDue && (h.call != 0 || now < h.next || !h.up || h.session <= h.dead) {
+			e.commandsDue = append(e.commandsDue, h)
 			continue
 		}
 		h.queued = false
-		if !h.wake {
+		if !h.commandsDue {
 			continue
 		}
-		h.wake = false
+		h.commandsDue = false
 		var starts []*task
 		for _, t := range h.tasks {
 			if t.committed && !t.inherited && !t.answered && !t.stopping && !t.job.Cancelled && t.session == h.session {
@@ -79,8 +79,8 @@
 			// The answer to the write came while the term was in doubt. What it lets
 			// start must not be lost for that: it goes out once the term is certain.
 			starts = nil
-			h.wake, h.queued = true, true
-			e.woken = append(e.woken, h)
+			h.commandsDue, h.queued = true, true
+			e.commandsDue = append(e.commandsDue, h)
 		}
 		cmds := e.commands(h, true)
 		for _, t := range starts {
@@ -132,7 +132,7 @@
 		}
 	}
 	if h.fails > 0 {
-		e.wake(h)
+		e.queueCommands(h)
 		h.next = now + min(e.rules.report/6<<min(h.fails, 5), e.rules.lease/2)
 		if now-h.heard > e.rules.silent {
 			// It is silent itself. Hundreds may be, and each try takes a connection
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -8,7 +8,7 @@
 	"oakpick/internal/protocol"
 )
 
-// free is the room that the books leave on a machine.
+// free is the room that the records leave on a machine.
 func (e *engine) free(h *host) need {
 	mt := e.fleet.kind(h.kind)
 	if mt == nil {
@@ -16,7 +16,7 @@
 	}
 	n := need{mt.CPUs, mt.GPUs, mt.MemoryGB}.minus(h.used)
 	for _, tr := range h.others {
-		// A task that isn't in the books any more still takes its room; how much
+		// A task that isn't in the records any more still takes its room; how much
 		// is known only while its job is.
 		if j := e.jobs[tr.Job]; j != nil && tr.State != protocol.Exited {
 			n = n.minus(j.need)
--- a/internal/coordination/return.go
+++ b/internal/coordination/return.go
@@ -18,8 +18,8 @@
 	return config.Seconds(mt.BootS)
 }
 
-// giveBack returns machines that are empty, have failed or never came up.
-func (e *engine) giveBack(needed map[*host]bool) {
+// returnUnneeded returns machines that are empty, have failed or never came up.
+func (e *engine) returnUnneeded(needed map[*host]bool) {
 	now := e.n.now.Mono
 	var back []string
 	for _, h := range e.byName {
--- a/internal/coordination/scale_test.go
+++ b/internal/coordination/scale_test.go
@@ -106,21 +106,25 @@
 func BenchmarkStep(b *testing.B) {
 	for _, machines := range []int{100, 400, 1600} {
 		_, n := fleetOf(b, machines)
-		run := func(name string, command func(i int) any) {
+		run := func(name string, request func() coordination.Request) {
 			b.Run(fmt.Sprintf("%s/%d", name, machines), func(b *testing.B) {
-				for i := range b.N {
-					n.Ask(command(i), func(coordination.Reply) {})
+				for range b.N {
+					n.Ask(request(), func(coordination.Reply) {})
 				}
 			})
 		}
-		run("poll", func(int) any { return coordination.UserCall{Kind: coordination.Poll, Job: "wk-000001"} })
-		run("tick", func(int) any { return coordination.Tick{} })
+		b.Run(fmt.Sprintf("tick/%d", machines), func(b *testing.B) {
+			for range b.N {
+				n.Tick()
+			}
+		})
+		run("poll", func() coordination.Request { return coordination.UserCall{Kind: coordination.Poll, Job: "wk-000001"} })
 		seq := int64(0)
-		run("report", func(int) any {
+		run("report", func() coordination.Request {
 			seq++
 			return coordination.ReportCall{Report: &protocol.Report{Host: "x-000001", Type: "small", Zone: "a", Session: 1, Seq: seq}}
 		})
-		run("submission", func(int) any {
+		run("submission", func() coordination.Request {
 			seq++
 			s := service(100_000+int(seq), 1)
 			s.Team = "red"
--- a/internal/coordination/task.go
+++ b/internal/coordination/task.go
@@ -88,7 +88,7 @@
 		e.settle(t.job, nil)
 		return
 	}
-	e.wake(t.host)
+	e.queueCommands(t.host)
 }
 
 // drop forgets a task that is certainly not on its machine, or no longer.
@@ -304,7 +304,7 @@
 		}
 		return
 	}
-	e.wake(t.host)
+	e.queueCommands(t.host)
 }
 
 // preemptTask stops a task so that it saves what it can; of a gang, every task.
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -22,7 +22,7 @@
 type purpose uint8
 
 const (
-	forLook purpose = iota
+	forLeaderCheck purpose = iota
 	forGrant
 	forAcquire
 	forRenew
@@ -46,20 +46,20 @@
 	leader string
 	heard  time.Duration // when the state service, or a leader, was last heard
 
-	lookAt  time.Duration
-	looking bool
-	backOff time.Duration // until when to leave the term to others
-	reached time.Duration // when the leader last answered a greeting, or was first heard of
-	greetAt time.Duration
-	lease   int64
-	until   time.Duration // while the lease certainly lasts, by our clock
-	renewAt time.Duration
-	seen    int64 // version of the leader's key when last read; 0: absent
-	own     int64 // the version that we hold; 0: none
-	led     int64 // the first version of the latest reign whose books were read; 0: none
-	loading *loader
-	acquire *protocol.Txn
-	ledAt   time.Duration // when the books were read; only from then on may anything be told or started
+	leaderCheckAt  time.Duration
+	checkingLeader bool
+	backOff        time.Duration // until when to leave the term to others
+	reached        time.Duration // when the leader last answered a greeting, or was first heard of
+	greetAt        time.Duration
+	lease          int64
+	until          time.Duration // while the lease certainly lasts, by our clock
+	renewAt        time.Duration
+	seen           int64 // version of the leader's key when last read; 0: absent
+	own            int64 // the version that we hold; 0: none
+	led            int64 // the first version of the latest reign whose records were read; 0: none
+	loading        *loader
+	acquire        *protocol.Txn
+	ledAt          time.Duration // when the records were read; only from then on may anything be told or started
 
 	// letting go, see askedToStepDown
 	steppedDown map[string]time.Duration
@@ -76,13 +76,13 @@
 	barrier bool
 }
 
-func (n *Node) state(why purpose, c StateCall) {
+func (n *Node) state(why purpose, c storage.StateCall) {
 	if n.term.calls == nil {
 		n.term.calls = map[uint64]pending{}
 	}
 	c.ID = n.id()
 	n.term.calls[c.ID] = pending{why, n.now.Mono}
-	n.emit(c)
+	n.emit(StateCall{c})
 }
 
 // holdOver tells whether workers may no longer be answered. The hold counts from
@@ -135,12 +135,12 @@
 	t, now := &n.term, n.now.Mono
 	if t.own != 0 && now >= t.renewAt {
 		t.renewAt = now + n.rules.renew
-		n.state(forRenew, StateCall{Op: storage.StateRenew, Lease: t.lease})
+		n.state(forRenew, storage.StateCall{Op: storage.StateRenew, Lease: t.lease})
 	}
 	if t.own != 0 {
 		n.askIdle()
 		if n.engine != nil {
-			// Not before the books are read: if they can't be, the predecessor had
+			// Not before the records are read: if they can't be, the predecessor had
 			// better go on answering its workers.
 			n.askStepDown()
 		}
@@ -155,9 +155,9 @@
 		t.greetAt = now + n.rules.probe
 		n.emit(PeerCall{Peer: t.leader, Asked: now})
 	}
-	if !t.looking && now >= t.lookAt {
-		t.looking = true
-		n.state(forLook, StateCall{Op: storage.StateGet, Key: LeaderKey})
+	if !t.checkingLeader && now >= t.leaderCheckAt {
+		t.checkingLeader = true
+		n.state(forLeaderCheck, storage.StateCall{Op: storage.StateGet, Key: LeaderKey})
 	}
 }
 
@@ -170,11 +170,11 @@
 	}
 }
 
-// lookLater plans the next look at the leader's key.
-func (n *Node) lookLater() {
-	n.term.looking = false
+// scheduleLeaderCheck plans the next look at the leader's key.
+func (n *Node) scheduleLeaderCheck() {
+	n.term.checkingLeader = false
 	jitter := time.Duration(n.rng.Int64N(int64(n.rules.poll)/4 + 1))
-	n.term.lookAt = n.now.Mono + n.rules.poll + jitter
+	n.term.leaderCheckAt = n.now.Mono + n.rules.poll + jitter
 }
 
 func (n *Node) stepDown(why string) {
@@ -186,12 +186,12 @@
 	t.calls = nil
 	t.own, t.lease, t.loading, t.acquire = 0, 0, nil, nil
 	t.leader, t.until = "", 0
-	n.lookLater()
+	n.scheduleLeaderCheck()
 }
 
-// giveUp ends the term by this node's own choice, so that another can take it
+// yieldTerm ends the term by this node's own choice, so that another can take it
 // at once.
-func (n *Node) giveUp(why string) {
+func (n *Node) yieldTerm(why string) {
 	n.restartTerm(why)
 	n.term.backOff = n.now.Mono + n.rules.backOff
 }
@@ -201,10 +201,10 @@
 func (n *Node) restartTerm(why string) {
 	lease := n.term.lease
 	n.stepDown(why)
-	n.state(forRevoke, StateCall{Op: storage.StateRevoke, Lease: lease})
+	n.state(forRevoke, storage.StateCall{Op: storage.StateRevoke, Lease: lease})
 }
 
-func (n *Node) stateResult(r StateResult) {
+func (n *Node) stateResult(r storage.StateResult) {
 	p, ok := n.term.calls[r.ID]
 	if !ok {
 		return
@@ -215,8 +215,8 @@
 		t.heard = n.now.Mono
 	}
 	switch p.why {
-	case forLook:
-		n.looked(r)
+	case forLeaderCheck:
+		n.leaderKeyRead(r)
 	case forGrant:
 		n.granted(r, p)
 	case forAcquire:
@@ -241,10 +241,10 @@
 	}
 }
 
-func (n *Node) looked(r StateResult) {
+func (n *Node) leaderKeyRead(r storage.StateResult) {
 	t := &n.term
 	if t.own != 0 {
-		t.looking = false
+		t.checkingLeader = false
 		return
 	}
 	switch r.Outcome {
@@ -252,7 +252,7 @@
 		var v leaderValue
 		if protocol.Decode(r.Entry.Value, &v) != nil {
 			n.log(Error, "leader key holds something else")
-			n.lookLater()
+			n.scheduleLeaderCheck()
 			return
 		}
 		t.seen = r.Entry.Version
@@ -270,16 +270,16 @@
 		if v.Node != n.cfg.Node {
 			n.follow(v.Node, r.Entry.Version)
 		}
-		n.lookLater()
+		n.scheduleLeaderCheck()
 	case NotFound:
 		t.seen, t.leader = 0, ""
 		if n.now.Mono < t.backOff {
-			n.lookLater()
+			n.scheduleLeaderCheck()
 			return
 		}
 		n.askLease()
 	default:
-		n.lookLater()
+		n.scheduleLeaderCheck()
 	}
 }
 
@@ -290,13 +290,13 @@
 		return
 	}
 	t.acquire = nil
-	n.state(forGrant, StateCall{Op: storage.StateGrant, TTL: n.rules.ttl})
+	n.state(forGrant, storage.StateCall{Op: storage.StateGrant, TTL: n.rules.ttl})
 }
 
-func (n *Node) granted(r StateResult, p pending) {
+func (n *Node) granted(r storage.StateResult, p pending) {
 	t := &n.term
 	if t.own != 0 || r.Outcome != OK {
-		n.lookLater()
+		n.scheduleLeaderCheck()
 		return
 	}
 	t.lease, t.until = r.Number, 0
@@ -309,11 +309,11 @@
 }
 
 func (n *Node) sendAcquire() {
-	n.term.looking = true
-	n.state(forAcquire, StateCall{Op: storage.StateTxn, Txn: *n.term.acquire})
+	n.term.checkingLeader = true
+	n.state(forAcquire, storage.StateCall{Op: storage.StateTxn, Txn: *n.term.acquire})
 }
 
-func (n *Node) acquiredResult(r StateResult) {
+func (n *Node) acquiredResult(r storage.StateResult) {
 	t := &n.term
 	if t.own != 0 || t.acquire == nil {
 		return
@@ -326,13 +326,13 @@
 		t.acquire = nil
 	}
 	// Refused, lost to another, or not answered: the next look tells.
-	n.lookLater()
-	t.lookAt = n.now.Mono + n.rules.retry
+	n.scheduleLeaderCheck()
+	t.leaderCheckAt = n.now.Mono + n.rules.retry
 }
 
 func (n *Node) tookTerm(version int64) {
 	t := &n.term
-	t.looking, t.acquire = false, nil
+	t.checkingLeader, t.acquire = false, nil
 	if version <= t.floor || n.now.Mono >= t.until {
 		n.stepDown("taken too late")
 		return
@@ -344,10 +344,10 @@
 	t.loading = &loader{}
 	n.Stats.Terms++
 	n.log(Info, "term taken", "term", version)
-	n.state(forBarrier, StateCall{Op: storage.StateTxn, Txn: protocol.Txn{If: []protocol.Condition{{Key: LeaderKey, Version: version}}}})
+	n.state(forBarrier, storage.StateCall{Op: storage.StateTxn, Txn: protocol.Txn{If: []protocol.Condition{{Key: LeaderKey, Version: version}}}})
 }
 
-func (n *Node) loadResult(why purpose, r StateResult) {
+func (n *Node) loadResult(why purpose, r storage.StateResult) {
 	t := &n.term
 	l := t.loading
 	if l == nil {
@@ -359,10 +359,10 @@
 			after = l.entries[len(l.entries)-1].Key
 		}
 		if !l.barrier {
-			n.state(forBarrier, StateCall{Op: storage.StateTxn, Txn: protocol.Txn{If: []protocol.Condition{{Key: LeaderKey, Version: t.own}}}})
+			n.state(forBarrier, storage.StateCall{Op: storage.StateTxn, Txn: protocol.Txn{If: []protocol.Condition{{Key: LeaderKey, Version: t.own}}}})
 			return
 		}
-		n.state(forPages, StateCall{Op: storage.StateList, Key: storage.Root, After: after})
+		n.state(forPages, storage.StateCall{Op: storage.StateList, Key: storage.Root, After: after})
 	}
 	switch {
 	case r.Outcome == Conflict:
@@ -381,8 +381,8 @@
 		t.loading = nil
 		e, err := newEngine(n, l.entries)
 		if err != nil {
-			n.log(Error, "cannot read the books", "error", err.Error())
-			n.stepDown("the books can't be read")
+			n.log(Error, "cannot read the records", "error", err.Error())
+			n.stepDown("the records can't be read")
 			return
 		}
 		n.engine = e
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -27,7 +27,7 @@
 }
 
 func (e *engine) answerJob(id uint64, status int, j *job, counts bool) {
-	if j.Cancelled && j.cancelKnown && !e.mayTell(j) {
+	if j.Cancelled && j.cancelKnown && !e.canConfirmCancellation(j) {
 		// Another leader may have told it already: nothing else may be said either.
 		delete(e.asking, id)
 		e.n.refuse(id, "its tasks can't be stopped yet")
--- a/internal/coordination/writes.go
+++ b/internal/coordination/writes.go
@@ -5,7 +5,7 @@
 	"oakpick/internal/storage"
 )
 
-func (e *engine) stateResult(why purpose, r StateResult) {
+func (e *engine) stateResult(why purpose, r storage.StateResult) {
 	n := e.n
 	switch why {
 	case forPageTxn:
@@ -57,13 +57,13 @@
 			return
 		}
 		n.Stats.Txns++
-		n.state(forPageTxn, StateCall{Op: storage.StateTxn, Txn: f.Txn})
+		n.state(forPageTxn, storage.StateCall{Op: storage.StateTxn, Txn: f.Txn})
 		e.writes[n.nextID] = f
 	}
 }
 
 func (e *engine) checkWrite(f *storage.Write) {
-	e.n.state(forPageCheck, StateCall{Op: storage.StateGet, Key: f.Key()})
+	e.n.state(forPageCheck, storage.StateCall{Op: storage.StateGet, Key: f.Key()})
 	e.writes[e.n.nextID] = f
 }
 
@@ -96,10 +96,10 @@
 		return
 	}
 	e.raiseSent = true
-	n.state(forRaise, StateCall{Op: storage.StateTxn, Txn: *e.raising})
+	n.state(forRaise, storage.StateCall{Op: storage.StateTxn, Txn: *e.raising})
 }
 
-func (e *engine) raiseResult(why purpose, r StateResult) {
+func (e *engine) raiseResult(why purpose, r storage.StateResult) {
 	n := e.n
 	if e.raising == nil {
 		return
@@ -113,11 +113,11 @@
 			e.raiseSent, e.raiseNext = false, n.now.Mono+e.rules.retry
 			return
 		}
-		n.state(forRaiseCheck, StateCall{Op: storage.StateGet, Key: LeaderKey})
+		n.state(forRaiseCheck, storage.StateCall{Op: storage.StateGet, Key: LeaderKey})
 		return
 	}
 	if r.Outcome != OK && r.Outcome != NotFound {
-		n.state(forRaiseCheck, StateCall{Op: storage.StateGet, Key: LeaderKey})
+		n.state(forRaiseCheck, storage.StateCall{Op: storage.StateGet, Key: LeaderKey})
 		return
 	}
 	var v leaderValue
@@ -134,6 +134,6 @@
 	e.n.Stats.Raised++
 	e.n.log(Info, "token raised", "token", version)
 	for _, h := range e.byName {
-		e.wake(h)
+		e.queueCommands(h)
 	}
 }
--- a/internal/coordination/writes_test.go
+++ b/internal/coordination/writes_test.go
@@ -287,7 +287,7 @@
 
 // One-task jobs come four a second for minutes, a quarter of them cancelled, at the
 // smallest budget of writes: they are accepted as they come or refused at once, no
-// queue grows, and a take-over reads the books as fast at the end as at first.
+// queue grows, and a take-over reads the records as fast at the end as at first.
 func TestManySmallJobsAtTheSmallestBudget(t *testing.T) {
 	s := fake.Settings()
 	s.State.WriteRPS, s.State.RPS, s.State.ValueKB = 25, 120, 4
@@ -348,8 +348,8 @@
 	now := coordination.Now{}
 	var replies []coordination.Reply
 	refused := 0
-	var give func(commands ...any)
-	give = func(commands ...any) {
+	var give func(commands ...coordination.Command)
+	give = func(commands ...coordination.Command) {
 		now.Mono += time.Millisecond
 		for _, effect := range n.Step(now, commands) {
 			switch c := effect.(type) {
@@ -359,7 +359,7 @@
 				if c.Op == coordination.CloudTypes {
 					give(coordination.CloudResult{ID: c.ID, Types: fake.Types()})
 				}
-			case storage.StateCall:
+			case coordination.StateCall:
 				r := storage.StateResult{ID: c.ID, Number: 7}
 				switch {
 				case c.Op == storage.StateGet && c.Key == coordination.LeaderKey:
@@ -370,7 +370,7 @@
 					r.Outcome = storage.Conflict
 					refused++
 				}
-				give(r)
+				give(coordination.StateResult{StateResult: r})
 			}
 		}
 	}
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -44,8 +44,8 @@
 	_ = h.RecordValue(min(max(d.Microseconds(), least), most))
 }
 
-func (m *metrics) record(command any, d time.Duration) {
-	switch c := command.(type) {
+func (m *metrics) record(request coordination.Request, d time.Duration) {
+	switch c := request.(type) {
 	case coordination.UserCall:
 		m.add([...]string{"submit", "poll", "cancel"}[c.Kind], d)
 	case coordination.ReportCall:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,7 +25,7 @@
 )
 
 type item struct {
-	command any
+	command coordination.Command
 	raw     transport.Raw
 	reply   chan coordination.Reply
 }
@@ -107,16 +107,16 @@
 }
 
 // Do is the way in for requests: it hands a command to the owner.
-func (d *daemon) Do(command any, raw transport.Raw, wait time.Duration) coordination.Reply {
+func (d *daemon) Do(request coordination.Request, raw transport.Raw, wait time.Duration) coordination.Reply {
 	began := time.Now()
-	defer func() { d.metrics.record(command, time.Since(began)) }()
+	defer func() { d.metrics.record(request, time.Since(began)) }()
 	ch := make(chan coordination.Reply, 1)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	// The body belongs to the server's buffers, which the next request reuses.
 	raw.Body = append([]byte(nil), raw.Body...)
 	select {
-	case d.queue <- item{command, raw, ch}:
+	case d.queue <- item{request, raw, ch}:
 	case <-timer.C:
 		return transport.Busy("too busy")
 	}
@@ -132,7 +132,7 @@
 func (d *daemon) Healthy() bool { return d.healthy.Load() }
 
 // push brings an answer to the owner.
-func (d *daemon) push(command any) {
+func (d *daemon) push(command coordination.Command) {
 	select {
 	case d.queue <- item{command: command}:
 	case <-d.ctx.Done():
@@ -143,7 +143,7 @@
 func (d *daemon) own() {
 	tick := time.NewTicker(config.Seconds(d.cfg.Settings.Workers.Report / 40))
 	defer tick.Stop()
-	commands := make([]any, 0, batch)
+	commands := make([]coordination.Command, 0, batch)
 	for {
 		commands = commands[:0]
 		select {
@@ -166,7 +166,7 @@
 		led := d.node.Leads()
 		now := coordination.Now{Mono: time.Since(d.began), WallMs: time.Now().UnixMilli()}
 		for _, effect := range d.node.Step(now, commands) {
-			d.carryOut(effect)
+			d.perform(effect)
 		}
 		if led && !d.node.Leads() {
 			d.dropWaits()
@@ -176,27 +176,14 @@
 }
 
 // accept numbers a request, so that its reply finds the way back.
-func (d *daemon) accept(it item) any {
-	if it.reply == nil {
+func (d *daemon) accept(it item) coordination.Command {
+	request, ok := it.command.(coordination.Request)
+	if !ok {
 		return it.command
 	}
 	d.nextID++
 	d.waits[d.nextID] = waiter{it.reply, it.raw, time.Since(d.began)}
-	switch c := it.command.(type) {
-	case coordination.UserCall:
-		c.ID = d.nextID
-		return c
-	case coordination.ReportCall:
-		c.ID = d.nextID
-		return c
-	case coordination.StepDownCall:
-		c.ID = d.nextID
-		return c
-	case coordination.AdminCall:
-		c.ID = d.nextID
-		return c
-	}
-	return it.command
+	return request.WithID(d.nextID)
 }
 
 // dropWaits refuses what a former leader had not answered yet.
@@ -207,7 +194,7 @@
 	}
 }
 
-func (d *daemon) carryOut(effect any) {
+func (d *daemon) perform(effect coordination.Effect) {
 	switch e := effect.(type) {
 	case coordination.Reply:
 		if w, ok := d.waits[e.ID]; ok {
@@ -237,10 +224,10 @@
 			w.reply <- r
 			return nil
 		})
-	case storage.StateCall:
+	case coordination.StateCall:
 		d.group.Go(func() error {
 			began := time.Now()
-			d.push(d.state.Do(e))
+			d.push(coordination.StateResult{StateResult: d.state.Do(e.StateCall)})
 			d.metrics.state(e.Op, time.Since(began))
 			return nil
 		})
--- a/internal/fake/node.go
+++ b/internal/fake/node.go
@@ -65,7 +65,7 @@
 // Stats are the process's counts.
 func (n *Node) Stats() coordination.Stats { return n.node.Stats }
 
-func (n *Node) deliver(command any, reply func(coordination.Reply)) {
+func (n *Node) deliver(request coordination.Request, reply func(coordination.Reply)) {
 	if !n.Up {
 		return
 	}
@@ -73,47 +73,33 @@
 		life := n.life
 		n.w.After(n.PausedUntil-n.w.Now, func() {
 			if n.life == life {
-				n.deliver(command, reply)
+				n.deliver(request, reply)
 			}
 		})
 		return
 	}
 	n.nextID++
 	n.replies[n.nextID] = reply
-	switch c := command.(type) {
-	case coordination.UserCall:
-		c.ID = n.nextID
-		command = c
-	case coordination.ReportCall:
-		c.ID = n.nextID
-		command = c
-	case coordination.StepDownCall:
-		c.ID = n.nextID
-		command = c
-	case coordination.AdminCall:
-		c.ID = n.nextID
-		command = c
-	}
-	n.step(command)
+	n.step(request.WithID(n.nextID))
 }
 
-func (n *Node) step(command any) {
+func (n *Node) step(command coordination.Command) {
 	if !n.Up || n.w.Now < n.PausedUntil {
 		return
 	}
 	mono := time.Duration(float64(n.w.Now-n.began) * (1 + n.drift))
 	now := coordination.Now{Mono: mono, WallMs: (n.w.Now + n.ClockOff).Milliseconds() + 1_000_000}
-	for _, e := range n.node.Step(now, []any{command}) {
-		n.carryOut(e, command)
+	for _, e := range n.node.Step(now, []coordination.Command{command}) {
+		n.perform(e, command)
 	}
 }
 
 // call has a request executed and its result brought back, as the network will.
-func (n *Node) call(kind, to string, wait time.Duration, execute func() (any, bool), lost any) {
+func (n *Node) call(kind, to string, wait time.Duration, execute func() (coordination.Command, bool), lost coordination.Command) {
 	w, life := n.w, n.life
 	f := w.fate(kind, n.Name, to)
 	over := false
-	finish := func(r any) {
+	finish := func(r coordination.Command) {
 		if !over && n.Up && n.life == life {
 			over = true
 			n.back(r, life)
@@ -135,7 +121,7 @@
 }
 
 // back brings a result to the process, once it has processor time.
-func (n *Node) back(r any, life int) {
+func (n *Node) back(r coordination.Command, life int) {
 	if !n.Up || n.life != life {
 		return
 	}
@@ -146,7 +132,7 @@
 	n.step(r)
 }
 
-func (n *Node) carryOut(effect, cause any) {
+func (n *Node) perform(effect coordination.Effect, cause coordination.Command) {
 	w := n.w
 	report := sec(w.Cfg.Settings.Workers.Report)
 	switch e := effect.(type) {
@@ -156,6 +142,11 @@
 			f(e)
 		}
 	case coordination.Forward:
+		request, ok := cause.(coordination.Request)
+		if !ok {
+			w.fail("forward", "%s hands on what is no request", n.Name)
+			return
+		}
 		reply := n.replies[e.ID]
 		delete(n.replies, e.ID)
 		for _, p := range w.Nodes {
@@ -165,7 +156,7 @@
 					return
 				}
 				w.After(f.Request, func() {
-					p.deliver(cause, func(r coordination.Reply) {
+					p.deliver(request, func(r coordination.Reply) {
 						if !f.LoseAnswer {
 							w.After(f.Answer, func() { reply(r) })
 						}
@@ -173,7 +164,7 @@
 				})
 			}
 		}
-	case storage.StateCall:
+	case coordination.StateCall:
 		if n.old {
 			e.Txn = w.asProduction(e.Txn)
 		}
@@ -182,10 +173,12 @@
 		if len(e.Txn.Then) > 0 && e.Txn.Then[0].Put != coordination.LeaderKey && w.HoldsWrites {
 			kind = "write"
 		}
-		n.call(kind, "state", report/2, func() (any, bool) { return w.State.execute(n.Name, old, e), true },
-			storage.StateResult{ID: e.ID, Outcome: storage.Lost})
+		n.call(kind, "state", report/2, func() (coordination.Command, bool) {
+			return coordination.StateResult{StateResult: w.State.execute(n.Name, old, e.StateCall)}, true
+		},
+			coordination.StateResult{StateResult: storage.StateResult{ID: e.ID, Outcome: storage.Lost}})
 	case coordination.CloudCall:
-		n.call("cloud", "cloud", report, func() (any, bool) { return w.Cloud.execute(e), true },
+		n.call("cloud", "cloud", report, func() (coordination.Command, bool) { return w.Cloud.execute(e), true },
 			coordination.CloudResult{ID: e.ID, Outcome: coordination.Lost})
 	case coordination.OrdersCall:
 		for _, c := range e.Commands {
@@ -193,7 +186,7 @@
 				w.fail("started_cancelled", "%s sends a start of %s, which its user was told is cancelled", n.Name, c.Attempt.Job)
 			}
 		}
-		n.call("orders", e.Host, report*3/4, func() (any, bool) {
+		n.call("orders", e.Host, report*3/4, func() (coordination.Command, bool) {
 			k := w.Workers[e.Host]
 			if k == nil || k.gone {
 				return nil, false
@@ -236,4 +229,9 @@
 }
 
 // Ask hands a node a request, and its reply to a function.
-func (n *Node) Ask(command any, reply func(coordination.Reply)) { n.deliver(command, reply) }
+func (n *Node) Ask(request coordination.Request, reply func(coordination.Reply)) {
+	n.deliver(request, reply)
+}
+
+// Tick lets the node look at what time calls for.
+func (n *Node) Tick() { n.step(coordination.Tick{}) }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -221,7 +221,7 @@
 // StepDownAnswer says whether the node has let go of every term below.
 type StepDownAnswer struct {
 	SteppedDown bool  `msgpack:"released"`
-	Led         int64 `msgpack:"taken"` // the last term of which this process has read the books; 0: none
+	Led         int64 `msgpack:"taken"` // the last term of which this process has read the records; 0: none
 	UpMs        int64 `msgpack:"up_ms"` // for how long it has been running
 }
 
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -19,7 +19,7 @@
 // Owner is the one goroutine that owns all state. Do hands it a command and
 // waits for the reply, for so long at most.
 type Owner interface {
-	Do(command any, raw Raw, wait time.Duration) coordination.Reply
+	Do(request coordination.Request, raw Raw, wait time.Duration) coordination.Reply
 	Healthy() bool
 }
 
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -20,7 +20,7 @@
 	well  bool
 }
 
-func (o *owner) Do(c any, _ Raw, _ time.Duration) coordination.Reply {
+func (o *owner) Do(c coordination.Request, _ Raw, _ time.Duration) coordination.Reply {
 	o.got = append(o.got, c)
 	time.Sleep(o.wait)
 	return o.reply
--- a/internal/transport/overload_test.go
+++ b/internal/transport/overload_test.go
@@ -28,7 +28,7 @@
 	return o
 }
 
-func (o *slowOwner) Do(_ any, _ Raw, wait time.Duration) coordination.Reply {
+func (o *slowOwner) Do(_ coordination.Request, _ Raw, wait time.Duration) coordination.Reply {
 	done := make(chan struct{})
 	o.queue <- done
 	select {
