--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -32,7 +32,7 @@
 func DefaultOptions(cfg *config.Config) Options {
 	w := cfg.Settings.Workers
 	return Options{
-		WriteShare: 0.8, Sample: 64, IdleS: 0, WarmRoom: 3,
+		WriteShare: 0.95, Sample: 64, IdleS: 0, WarmRoom: 3,
 		PreemptMostS: 50 * w.Lease, GiveUpBoots: 4, TakeoverS: 1.5 * w.Report, MovesPerMin: 6 * cfg.Settings.State.Smallest().WriteRPS,
 	}
 }
