--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -85,7 +85,7 @@
 		e.store.Touch(e.n.now.Mono, j.blocks[0], nil)
 	}
 	var placed []*task
-	w := storage.OnCommit(func() {
+	w := storage.OnCommitStart(func() {
 		for _, t := range placed {
 			e.started(t)
 		}
--- a/internal/coordination/task.go
+++ b/internal/coordination/task.go
@@ -71,7 +71,7 @@
 	j.team.used = j.team.used.plus(j.need)
 	h.fetch(e, j)
 	if w == nil {
-		w = storage.OnCommit(func() { e.started(t) })
+		w = storage.OnCommitStart(func() { e.started(t) })
 	}
 	e.store.Touch(e.n.now.Mono, b, w)
 	return t
--- a/internal/storage/page.go
+++ b/internal/storage/page.go
@@ -34,14 +34,21 @@
 // By how many retry times a page may be written later than one that somebody waits for.
 // What comes to it meanwhile shares its write.
 const (
-	soonRetries       = 5
+	startRetries      = 5
+	soonRetries       = 10
 	backgroundRetries = 100
 )
 
 // OnCommit makes a wait; it is handed to Touch for every page that it waits for. A
-// user's answer or the start of a task depends on it.
+// user's answer depends on it.
 func OnCommit(then func()) *CommitWait { return &CommitWait{then: then} }
 
+// OnCommitStart makes a wait that the start of a task depends on. The aims for starts are
+// seconds, and those for users' answers parts of one, so that answers go first.
+func OnCommitStart(then func()) *CommitWait {
+	return &CommitWait{then: then, patience: startRetries}
+}
+
 // OnCommitLater makes a wait that nobody outside depends on: others go first.
 func OnCommitLater(then func()) *CommitWait {
 	return &CommitWait{then: then, patience: soonRetries}
