--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -7,6 +7,7 @@
 
 	"oakpick/internal/coordination"
 	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
 )
 
 // A rental is carried out and its answer lost: it is asked again under its own
@@ -183,3 +184,24 @@
 	}
 	check(t, w)
 }
+
+// A dear machine boots, with room for tasks that a cheap one would serve sooner. The cheap
+// ones are rented once, not again with every plan until the dear one is up.
+func TestRentedMachinesAreNotRentedAgainWhileADearOneBoots(t *testing.T) {
+	w := world(t)
+	admin(w, 0, coordination.AdminChange, `{"warm_room": 0}`)
+	w.Cloud.Late = 4 * time.Second // booting takes several plans
+	dear := service(1, 1)
+	dear.GPUs, dear.CPUs = 1, 1
+	w.Submit(dear, 0)
+	w.Run(time.Second)
+	cheap := job(2, protocol.Array, 4)
+	cheap.CPUs = 3
+	w.Submit(cheap, 30*time.Second)
+	w.Run(6 * time.Second)
+	if n := w.Cloud.RentedOf("small"); n != 4 {
+		t.Errorf("%d cheap machines are rented for four tasks", n)
+	}
+	runs(t, w, cheap.ID, 4)
+	check(t, w)
+}
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -127,12 +127,15 @@
 func (p *packing) binFor(j *job, tasks int, use map[string]int, spotOnly bool) *bin {
 	e := p.e
 	k := packed{j.shape(), spotOnly}
-	b := e.pack(p.bins[p.from[k]:], j, use, spotOnly)
+	o, ok := e.cheapest(j, use, tasks, spotOnly)
+	// A bin that a new machine would be up before is passed over, and the others aren't:
+	// what is rented instead is among them in the next plan.
+	passOver := func(b *bin) bool { return ok && e.sooner(j, b, o) }
+	b := e.pack(p.bins[p.from[k]:], j, use, spotOnly, passOver)
 	if b == nil && !j.Spread && !j.OneZone {
 		p.from[k] = len(p.bins)
 	}
-	o, ok := e.cheapest(j, use, tasks, spotOnly)
-	if b != nil && (!ok || !e.sooner(j, b, o)) || !ok {
+	if b != nil || !ok {
 		return b
 	}
 	mt := e.fleet.kind(o.kind)
@@ -203,12 +206,12 @@
 
 // pack finds the bin for a task: the fullest of those in use, else the empty one
 // that costs least for each such task, so that the dear ones stay unneeded.
-func (e *engine) pack(bins []*bin, j *job, use map[string]int, spotOnly bool) *bin {
+func (e *engine) pack(bins []*bin, j *job, use map[string]int, spotOnly bool, passOver func(*bin) bool) *bin {
 	var best *bin
 	bestKey := math.Inf(1)
 	for _, b := range bins {
 		e.n.Stats.HostsSeen++
-		if !j.need.fits(b.room) || spotOnly && !b.offer.spot || !j.allowed(b.offer.kind, b.offer.zone, b.offer.spot) || !j.zoneOK(b.offer.zone, use) {
+		if !j.need.fits(b.room) || spotOnly && !b.offer.spot || !j.allowed(b.offer.kind, b.offer.zone, b.offer.spot) || !j.zoneOK(b.offer.zone, use) || passOver(b) {
 			continue
 		}
 		key := b.room.gpus + b.room.cpus/1000
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -148,3 +148,14 @@
 	}
 	return out
 }
+
+// RentedOf counts the machines of a type that are rented.
+func (c *Cloud) RentedOf(kind string) int {
+	n := 0
+	for _, m := range c.machines {
+		if !m.gone && m.Type == kind {
+			n++
+		}
+	}
+	return n
+}
