--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -60,10 +60,7 @@
 		if c := e.classes[name]; c.sample != nil {
 			// Room for what may use spot machines is kept on those only: it isn't
 			// worth an ordinary machine.
-			// Zones bind the tasks of one job, and the room is for several.
-			for tasks := e.warmTasks(c); tasks > 0; tasks -= c.sample.Tasks {
-				p.add(c.sample, min(tasks, c.sample.Tasks), map[string]int{}, c.sample.Spot)
-			}
+			p.add(c.sample, e.warmTasks(c), map[string]int{}, c.sample.Spot)
 		}
 	}
 	if !e.rentAll(p.bins[p.existing:]) {
