--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -199,7 +199,7 @@
 	expected := float64(n) / span.Seconds() * boot
 	warm := e.opt.WarmRoom
 	if c.sample != nil && c.sample.Shape == protocol.Array {
-		warm /= 3 // its tasks needn't all run at once
+		warm /= 2 // its tasks needn't all run at once
 	}
 	return int(math.Round(warm * math.Sqrt(expected) * c.tasks))
 }
