--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -205,3 +205,55 @@
 	runs(t, w, cheap.ID, 4)
 	check(t, w)
 }
+
+// A machine with a replica dies. Room for two is rented, since of two machines one is up
+// sooner than either, and the other one is returned.
+func TestRoomForALostReplicaIsRentedTwice(t *testing.T) {
+	w := world(t)
+	admin(w, 0, coordination.AdminChange, `{"warm_room": 0}`)
+	s := service(1, 1)
+	s.CPUs = 4 // all of a small machine
+	w.Submit(s, 0)
+	runs(t, w, s.ID, 1)
+	w.Run(40 * time.Second)
+	if n := len(w.Cloud.Rented()); n != 1 {
+		t.Fatalf("%d machines are rented for one replica", n)
+	}
+	before := w.Leader().Stats().Rented
+	rented := func() int64 { return w.Leader().Stats().Rented - before }
+	w.Cloud.Never = 1 // one of the machines never comes up
+	w.Cloud.Die(w.On(s.ID)[0])
+	w.Until(40*time.Second, func() bool { return rented() > 0 })
+	w.Run(2 * time.Second) // before either could be late
+	if n := rented(); n != 2 {
+		t.Errorf("%d machines are rented for a lost replica", n)
+	}
+	w.Run(6 * time.Second)
+	if n := w.Running(s.ID); n != 1 {
+		t.Errorf("%d replicas run once one of the machines is up", n)
+	}
+	w.Run(80 * time.Second)
+	if n := len(w.Cloud.Rented()); n != 1 {
+		t.Errorf("%d machines are rented later", n)
+	}
+	check(t, w)
+}
+
+// A replica waits for a machine that should be up and isn't. Another one is rented a little
+// later, not only when the first can hardly come any more.
+func TestWaitingReplicaDoesNotCountOnALateMachine(t *testing.T) {
+	w := world(t)
+	admin(w, 0, coordination.AdminChange, `{"warm_room": 0}`)
+	w.Run(3 * time.Second)
+	w.Cloud.Late = 60 * time.Second
+	s := service(1, 1)
+	s.CPUs = 4
+	w.Submit(s, 0)
+	w.Run(5 * time.Second) // a small machine boots for five seconds
+	before := w.Cloud.RentedOf("small")
+	w.Run(1800 * time.Millisecond)
+	if after := w.Cloud.RentedOf("small"); before != 1 || after != 2 {
+		t.Errorf("%d, then %d machines are rented for one replica", before, after)
+	}
+	check(t, w)
+}
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -208,6 +208,7 @@
 		if t.state != tr.State || t.ranSince < 0 {
 			if tr.State == protocol.Running && t.ranSince < 0 {
 				t.ranSince = now
+				t.job.hasRun = true
 				h.arrivedImage(t.job, now)
 				if t.job.Shape == protocol.Gang {
 					t.job.gangRan = true
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -37,6 +37,7 @@
 	failures    int
 	failedOn    map[string]bool
 	retryAt     time.Duration
+	hasRun      bool // a task of it has been seen running in this term
 	gangRan     bool // the present attempt has begun to run
 	gangEnding  bool // and is to end before the next
 	idleSince   time.Duration
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -15,6 +15,7 @@
 	offer offer
 	room  need
 	ready time.Duration // until it is up
+	late  bool          // it should have been up by now
 	used  bool
 }
 
@@ -38,12 +39,25 @@
 	// Room only shrinks here: where there was none for one task, there is none for
 	// the next of its shape.
 	from map[packed]int
+	warm bool // room to be kept is being packed, not what waits
 }
 
+// lateBoot is after how many times its type's boot time replicas that wait no longer
+// count on a machine that isn't up.
+const lateBoot = 1.1
+
+// lostRoom is for how many times as many replicas room is rented if they were lost while
+// they ran: of several machines one is up sooner than any one of them, and the rest are
+// returned.
+const lostRoom = 2
+
+// waits tells whether what is being packed are replicas that users miss.
+func (p *packing) waits(j *job) bool { return !p.warm && j.Shape == protocol.Service }
+
 // packed is what tells tasks apart that may go into the same bins.
 type packed struct {
 	shape
-	spotOnly bool
+	spotOnly, warm, service bool
 }
 
 // plan packs what waits, and the room to be kept, into what is free, coming,
@@ -53,9 +67,14 @@
 	p.existing = len(p.bins)
 	for _, w := range e.fleet.unplaced {
 		if !w.job.over && !w.job.Cancelled {
-			p.add(w.job, min(w.tasks, w.job.idle()), w.job.zoneUse(), false)
+			tasks := min(w.tasks, w.job.idle())
+			if w.job.Shape == protocol.Service && w.job.hasRun {
+				tasks *= lostRoom
+			}
+			p.add(w.job, tasks, w.job.zoneUse(), false)
 		}
 	}
+	p.warm = true
 	for _, name := range e.classNames() {
 		if c := e.classes[name]; c.sample != nil {
 			// Room for what may use spot machines is kept on those only: it isn't
@@ -89,8 +108,12 @@
 			// The place of a stopping task is free long before a new machine is up.
 			bins = append(bins, &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: e.free(h).plus(h.leaving)})
 		case e.coming(h):
-			boot := max(config.Seconds(mt.BootS)-(e.n.now.Mono-h.rentedAt), config.Seconds(mt.BootS/10))
-			bins = append(bins, &bin{h: h, offer: offer{h.kind, h.zone, h.spot}, room: size(mt), ready: boot})
+			age := e.n.now.Mono - h.rentedAt
+			bins = append(bins, &bin{
+				h: h, offer: offer{h.kind, h.zone, h.spot}, room: size(mt),
+				ready: max(config.Seconds(mt.BootS)-age, config.Seconds(mt.BootS/10)),
+				late:  age > config.Seconds(mt.BootS*lateBoot),
+			})
 		}
 	}
 	for _, r := range f.rentals {
@@ -126,11 +149,11 @@
 // binFor is the bin for the next of so many tasks, a new one if need be.
 func (p *packing) binFor(j *job, tasks int, use map[string]int, spotOnly bool) *bin {
 	e := p.e
-	k := packed{j.shape(), spotOnly}
+	k := packed{j.shape(), spotOnly, p.warm, j.Shape == protocol.Service}
 	o, ok := e.cheapest(j, use, tasks, spotOnly)
 	// A bin that a new machine would be up before is passed over, and the others aren't:
 	// what is rented instead is among them in the next plan.
-	passOver := func(b *bin) bool { return ok && e.sooner(j, b, o) }
+	passOver := func(b *bin) bool { return ok && (e.sooner(j, b, o) || b.late && p.waits(j)) }
 	b := e.pack(p.bins[p.from[k]:], j, use, spotOnly, passOver)
 	if b == nil && !j.Spread && !j.OneZone {
 		p.from[k] = len(p.bins)
