--- a/internal/coordination/cancel_test.go
+++ b/internal/coordination/cancel_test.go
@@ -118,12 +118,7 @@
 						}
 					})
 				}
-				for range 30 {
-					w.Run(time.Second)
-					for _, j := range jobs {
-						w.CloseLook(j)
-					}
-				}
+				lookRepeatedly(w, jobs, 30, time.Second)
 				delete(w.State.Cut, "n0")
 				w.Network = nil
 				w.Run(20 * time.Second)
--- a/internal/coordination/five_controllers_test.go
+++ b/internal/coordination/five_controllers_test.go
@@ -93,12 +93,7 @@
 					w.After(6*time.Second, w.Nodes[0].Crash)
 					w.After(14*time.Second, w.Nodes[0].Start)
 				}
-				for range 40 {
-					w.Run(time.Second)
-					for _, j := range jobs {
-						w.CloseLook(j)
-					}
-				}
+				lookRepeatedly(w, jobs, 40, time.Second)
 				w.Network = nil
 				pollFor(w, 90*time.Second)
 				check(t, w)
--- a/internal/coordination/helpers_test.go
+++ b/internal/coordination/helpers_test.go
@@ -117,3 +117,14 @@
 		}
 	}
 }
+
+// lookRepeatedly asks about jobs at every node, and hands them in again there, so many
+// times, each time after a while.
+func lookRepeatedly(w *fake.World, jobs []*fake.Job, times int, after time.Duration) {
+	for range times {
+		w.Run(after)
+		for _, j := range jobs {
+			w.CloseLook(j)
+		}
+	}
+}
--- a/internal/coordination/large_pipeline_test.go
+++ b/internal/coordination/large_pipeline_test.go
@@ -156,12 +156,7 @@
 		}
 		w.Network = nil
 		jobs := []*fake.Job{first, second, third, fourth}
-		for range 20 {
-			w.Run(200 * time.Millisecond)
-			for _, j := range jobs {
-				w.CloseLook(j)
-			}
-		}
+		lookRepeatedly(w, jobs, 20, 200 * time.Millisecond)
 		pollFor(w, 40*time.Second)
 		check(t, w)
 		settled(t, w, jobs)
@@ -239,12 +234,7 @@
 				}
 			})
 		}
-		for range 30 {
-			w.Run(150 * time.Millisecond)
-			for _, j := range jobs {
-				w.CloseLook(j)
-			}
-		}
+		lookRepeatedly(w, jobs, 30, 150 * time.Millisecond)
 		pollFor(w, 60*time.Second)
 		check(t, w)
 		settled(t, w, jobs)
--- a/internal/coordination/pipeline_test.go
+++ b/internal/coordination/pipeline_test.go
@@ -184,12 +184,7 @@
 				if step%2 == 0 {
 					w.After(time.Duration(step)*200*time.Millisecond, func() { w.CancelJob(jobs[1]) })
 				}
-				for range 70 {
-					w.Run(time.Second)
-					for _, j := range all {
-						w.CloseLook(j)
-					}
-				}
+				lookRepeatedly(w, all, 70, time.Second)
 				pollFor(w, 60*time.Second)
 				check(t, w)
 				settled(t, w, jobs)
@@ -376,12 +371,7 @@
 		if step%3 == 1 {
 			w.After(700*time.Millisecond, func() { w.CancelEverywhere(first) })
 		}
-		for range 120 {
-			w.Run(50 * time.Millisecond)
-			for _, j := range jobs {
-				w.CloseLook(j)
-			}
-		}
+		lookRepeatedly(w, jobs, 120, 50 * time.Millisecond)
 		w.Nodes[0].Start()
 		pollFor(w, 40*time.Second)
 		check(t, w)
