--- a/internal/coordination/large_pipeline_test.go
+++ b/internal/coordination/large_pipeline_test.go
@@ -156,7 +156,7 @@
 		}
 		w.Network = nil
 		jobs := []*fake.Job{first, second, third, fourth}
-		lookRepeatedly(w, jobs, 20, 200 * time.Millisecond)
+		lookRepeatedly(w, jobs, 20, 200*time.Millisecond)
 		pollFor(w, 40*time.Second)
 		check(t, w)
 		settled(t, w, jobs)
@@ -234,7 +234,7 @@
 				}
 			})
 		}
-		lookRepeatedly(w, jobs, 30, 150 * time.Millisecond)
+		lookRepeatedly(w, jobs, 30, 150*time.Millisecond)
 		pollFor(w, 60*time.Second)
 		check(t, w)
 		settled(t, w, jobs)
--- a/internal/coordination/late_controller_test.go
+++ b/internal/coordination/late_controller_test.go
@@ -77,7 +77,7 @@
 	w.State.Lower()
 	jobs := pipeline(t, w, 300)
 	w.CancelEverywhere(jobs[1])
-	lookRepeatedly(w, jobs, 80, 500 * time.Millisecond)
+	lookRepeatedly(w, jobs, 80, 500*time.Millisecond)
 	pollFor(w, 120*time.Second)
 	check(t, w)
 	served(t, w)
--- a/internal/coordination/pipeline_test.go
+++ b/internal/coordination/pipeline_test.go
@@ -371,7 +371,7 @@
 		if step%3 == 1 {
 			w.After(700*time.Millisecond, func() { w.CancelEverywhere(first) })
 		}
-		lookRepeatedly(w, jobs, 120, 50 * time.Millisecond)
+		lookRepeatedly(w, jobs, 120, 50*time.Millisecond)
 		w.Nodes[0].Start()
 		pollFor(w, 40*time.Second)
 		check(t, w)
