--- a/internal/coordination/dependencies_test.go
+++ b/internal/coordination/dependencies_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"oakpick/internal/protocol"
 	"oakpick/internal/storage"
@@ -154,3 +155,36 @@
 		t.Errorf("%d jobs were looked at for %d", d.visits, 2*n)
 	}
 }
+
+// A job waits long for what it needs: its times count from the end of the last of these,
+// but for its deadline, which counts from its submission.
+func TestTimesOfAJobBeginWithItsLastPrerequisite(t *testing.T) {
+	const submittedMs, doneMs = 1000, 90_000
+	for _, c := range []struct {
+		deadline float64
+		queuedAt int64
+	}{
+		{0, doneMs},
+		{500, doneMs},                      // there is time enough
+		{60, submittedMs + 60_000 - 8_000}, // it had to begin before
+	} {
+		e := &engine{
+			n:    &Node{now: Now{WallMs: doneMs, Mono: 89 * time.Second}},
+			jobs: map[string]*job{}, classes: map[string]*class{}, dependencies: newDependencies(),
+		}
+		first, last := graphJob("first", protocol.Low, 0, 15), graphJob("last", protocol.High, c.deadline, 8)
+		for _, j := range []*job{first, last} {
+			j.e, j.readyMs = e, j.SubmittedMs
+			e.jobs[j.ID] = j
+			e.order = append(e.order, j)
+		}
+		e.dependencies.add(last, []*job{first}, 0)
+		e.prerequisiteDone("first")
+		if last.waits() || last.readyMs != doneMs || last.idleSince != e.n.now.Mono {
+			t.Errorf("deadline %v: waits %t, its times count from %d ms", c.deadline, last.waits(), last.readyMs)
+		}
+		if got := e.queuedAtMs(last); got != c.queuedAt {
+			t.Errorf("deadline %v: queued as of %d ms, not %d", c.deadline, got, c.queuedAt)
+		}
+	}
+}
