Known red: a done gang's member on a hanging machine doesn't count for its team's limit

When one member of a gang is done all are, and the leader drops the others at once: a machine that hangs just then still has its task, and the team may use more than its limit until it resumes or its lease lapses. Production does the same.

--- a/internal/coordination/limits_test.go
+++ b/internal/coordination/limits_test.go
@@ -259,3 +259,30 @@
 		served(t, w)
 	}
 }
+
+// A gang is done as one of its members says, while the machine of another hangs since just
+// before: that member is still on its machine, and counts for its team's limit until it is
+// gone.
+func TestMemberOfADoneGangOnAHangingMachineCountsForTheLimit(t *testing.T) {
+	for step := range 20 {
+		w := world(t)
+		other := service(50, 2) // of another team, whose machines are empty when the gang is done
+		other.CPUs, other.Types = 8, []string{"large"}
+		filler := w.Submit(other, 0)
+		runs(t, w, other.ID, 2)
+		gang := job(1, protocol.Gang, 3)
+		gang.Team, gang.CPUs, gang.Types = "red", 3, []string{"small"}
+		j := w.Submit(gang, 10*time.Second)
+		runs(t, w, gang.ID, 3)
+		rest := job(2, protocol.Array, 12)
+		rest.Team, rest.Types = "red", []string{"large"}
+		w.Submit(rest, 30*time.Second)
+		w.Run(7500*time.Millisecond + time.Duration(step)*100*time.Millisecond) // within gang_peer_s of the end
+		if on := w.On(j.Sub.ID); len(on) > 0 {
+			w.Workers[on[len(on)-1]].HangUntil = w.Now + 26*time.Second
+		}
+		w.CancelJob(filler)
+		w.Run(25 * time.Second)
+		check(t, w)
+	}
+}
