--- a/internal/coordination/task.go
+++ b/internal/coordination/task.go
@@ -158,14 +158,10 @@
 		j.failures = 0
 		e.markDone(j, t.index)
 		if j.Shape == protocol.Gang { // complete together
+			// The others are still on their machines until these say so: one may hang.
 			for i := range j.Tasks {
 				e.markDone(j, i)
 			}
-			for _, m := range e.sorted(j) {
-				if m != t {
-					e.drop(m)
-				}
-			}
 		}
 	case protocol.Failed:
 		e.failed(j, h)
