No start or block is durable before its job is; blocks outlive their job's end

Cause: place() let a start wait for its block's page alone, and four transactions are in flight. A job of several blocks could have starts durable and sent while its record's write was lost, late or refused; if the leader ended then, the successor knew no such job ('a block of an unknown job is dropped') and its user submitted it again. Found by looking for the same elsewhere: a job without parked prerequisites started before these were durable; a done job's blocks were removed before its end was durable. Ruled out: a gang's attempt number (its starts are sent only once every page is durable), rentals (recorded before the call), extensions (on the job's page). Change: awaitsRecord, removeRest. Each guard taken out once: its story fails.

--- /dev/null
+++ b/internal/coordination/early_start_test.go
@@ -0,0 +1,373 @@
+package coordination_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"oakpick/internal/config"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
+)
+
+// onePageATransaction are settings with which such a job has three blocks, and
+// each page a transaction of its own.
+func onePageATransaction() config.Settings {
+	s := fake.Settings()
+	s.State.TxnOps = 1
+	return s
+}
+
+// severalBlocks is a job whose tasks all find room on one small machine, and take more
+// than one block.
+func severalBlocks(id int, shape protocol.Shape) protocol.Submission {
+	s := job(id, shape, 36)
+	s.CPUs, s.MemoryGB, s.ImageGB = 0.1, 0.1, 0.1
+	if shape == protocol.Service {
+		s.SaveEach = 0
+	}
+	return s
+}
+
+// recordsBelong fails if a record is durable before the one that it belongs to: a block
+// without its job, a job without some of its prerequisites.
+func recordsBelong(t *testing.T, w *fake.World, prerequisites map[string]int) {
+	t.Helper()
+	jobs, blocks, named := map[string]bool{}, map[string]bool{}, map[string]int{}
+	for key, value := range pagesOf(w) {
+		var page storage.PageValue
+		if err := protocol.Decode(value, &page); err != nil {
+			t.Fatalf("%s: %v", key, err)
+		}
+		for _, r := range page.Jobs {
+			jobs[r.ID] = true
+		}
+		for _, r := range page.Finals {
+			jobs[r.ID], named[r.ID] = true, prerequisites[r.ID]
+		}
+		for _, r := range page.Blocks {
+			blocks[r.Job] = true
+		}
+		for _, r := range page.Extensions {
+			named[r.Job] += len(r.Prerequisites)
+		}
+		for _, r := range page.Prerequisites {
+			named[r.Job] += len(r.IDs)
+		}
+	}
+	for id := range blocks {
+		if !jobs[id] {
+			t.Fatalf("%v: a block of %s is durable before the job is", w.Now, id)
+		}
+	}
+	for id, want := range prerequisites {
+		if jobs[id] && named[id] != want {
+			t.Fatalf("%v: %s is durable with %d of %d prerequisites", w.Now, id, named[id], want)
+		}
+	}
+}
+
+// firstWrite has the first transaction of a page meet a trouble, and all others pass.
+func firstWrite(w *fake.World, trouble string) {
+	w.HoldsWrites = true
+	writes := 0
+	w.Network = func(kind, _, _ string) fake.Fate {
+		f := fake.Well()
+		if kind != "write" {
+			return f
+		}
+		writes++
+		switch {
+		case trouble == "lost" && writes == 1:
+			f.LoseRequest = true
+		case trouble == "late" && writes == 1:
+			f.LoseRequest, f.Copy = true, 4*time.Second
+		case trouble == "refused" && writes == 1:
+			w.After(f.Request, func() { w.State.RefuseWrites = true })
+		case trouble == "refused" && writes == 2:
+			w.After(f.Request, func() { w.State.RefuseWrites = false })
+		}
+		return f
+	}
+}
+
+// unreachable has machines meet a trouble for so long: cut off, hanging, or with reports
+// that arrive late.
+func unreachable(w *fake.World, hosts []string, trouble string, d time.Duration) {
+	until := w.Now + d
+	w.Network = func(kind, from, to string) fake.Fate {
+		f := fake.Well()
+		if w.Now >= until {
+			return f
+		}
+		switch {
+		case trouble == "cut off" && (slices.Contains(hosts, from) || slices.Contains(hosts, to)):
+			f.LoseRequest = true
+		case trouble == "reports late" && kind == "report" && slices.Contains(hosts, from):
+			f.LoseRequest, f.Copy = true, 5*time.Second
+		case trouble == "reports late" && kind == "orders" && slices.Contains(hosts, to):
+			f.LoseAnswer = true
+		}
+		return f
+	}
+	if trouble == "hangs" {
+		for _, name := range hosts {
+			w.Workers[name].HangUntil = until
+		}
+	}
+}
+
+// The transaction with a job's record is lost, late or refused, those with its other
+// blocks pass, and the leader ends. The successor knows no such job, its user submits it
+// again, and the machines that could have been told of the first acceptance can't be
+// asked. Nothing of a job starts before its record is durable (seen on an enlarged bench
+// day as "a block of an unknown job is dropped", with its starts).
+func TestNothingStartsBeforeItsJobIsDurable(t *testing.T) {
+	for _, shape := range []protocol.Shape{protocol.Array, protocol.Gang, protocol.Service} {
+		for _, write := range []string{"lost", "late", "refused"} {
+			for _, machine := range []string{"cut off", "hangs", "reports late"} {
+				for _, cancel := range []bool{false, true} {
+					t.Run(fmt.Sprint(shape, " write ", write, " machine ", machine, " cancel ", cancel), func(t *testing.T) {
+						t.Parallel()
+						startsBeforeItsJob(t, shape, write, machine, cancel)
+					})
+				}
+			}
+		}
+	}
+}
+
+func startsBeforeItsJob(t *testing.T, shape protocol.Shape, write, machine string, cancel bool) {
+	w := worldOf(t, onePageATransaction())
+	hosts := spare(t, w)
+	w.Run(5 * time.Second) // nothing is left to be written
+	firstWrite(w, write)
+	j := w.Submit(severalBlocks(1, shape), 20*time.Second)
+	for range 6 {
+		w.Run(50 * time.Millisecond)
+		recordsBelong(t, w, nil)
+	}
+	if on := w.On(j.Sub.ID); len(on) > 0 {
+		if !j.Accepted && write != "refused" {
+			t.Errorf("%d tasks are on machines, and the job is not accepted", len(on))
+		}
+		hosts = on
+	}
+	unreachable(w, hosts[:1], machine, 8*time.Second)
+	if l := w.Leader(); l != nil {
+		l.Crash()
+		w.After(4*time.Second, l.Start)
+	}
+	if cancel {
+		w.CancelEverywhere(j)
+	}
+	for n := range 80 {
+		if n%10 == 5 {
+			w.CloseLook(j) // the user doesn't wait for an answer of the node that has ended
+		}
+		w.Run(100 * time.Millisecond)
+		recordsBelong(t, w, nil)
+	}
+	pollFor(w, 60*time.Second)
+	check(t, w)
+	for _, line := range w.Log {
+		if strings.Contains(line, "a block of an unknown job is dropped") {
+			t.Error(line)
+		}
+	}
+	if !cancel {
+		served(t, w)
+	}
+}
+
+// All that a job needs is done, and its prerequisites take records of their own: it could
+// start at once, and must not be durable before they are, whichever write is lost.
+func TestNothingStartsBeforeItsPrerequisitesAreRecorded(t *testing.T) {
+	for lost := 1; lost <= 4; lost++ {
+		t.Run(fmt.Sprint("write ", lost, " lost"), func(t *testing.T) {
+			t.Parallel()
+			w := worldOf(t, onePageATransaction())
+			spare(t, w)
+			var needs []*fake.Job
+			for n := range 200 {
+				s := job(1000+n, protocol.Array, 1)
+				s.CPUs, s.MemoryGB = 0.1, 0.1
+				needs = append(needs, w.Submit(s, time.Second))
+			}
+			done := func(j *fake.Job) bool { return j.Told == protocol.StatusDone }
+			for tries := 0; tries < 60 && !all(needs, done); tries++ {
+				pollFor(w, 2*time.Second)
+			}
+			if !all(needs, done) {
+				t.Fatal("the prerequisites are not done")
+			}
+			w.Network = losesWrite(w, lost)
+			j := accepted(t, w, severalBlocks(1, protocol.Array), time.Second, needs...)
+			for range 60 {
+				w.Run(50 * time.Millisecond)
+				recordsBelong(t, w, map[string]int{j.Sub.ID: len(needs)})
+			}
+			pollFor(w, 40*time.Second)
+			check(t, w)
+			served(t, w)
+		})
+	}
+}
+
+// losesWrite loses one write of a page, counted from now on; the others pass.
+func losesWrite(w *fake.World, number int) func(kind, from, to string) fake.Fate {
+	w.HoldsWrites = true
+	writes := 0
+	return func(kind, _, _ string) fake.Fate {
+		f := fake.Well()
+		if kind == "write" {
+			writes++
+			f.LoseRequest = writes == number
+		}
+		return f
+	}
+}
+
+func all[T any](items []T, ok func(T) bool) bool {
+	return !slices.ContainsFunc(items, func(x T) bool { return !ok(x) })
+}
+
+// The last block of an array ends, and its removal would be durable while the end of the
+// job is not, when the leader ends. The successor must not start the tasks again whose
+// ends are forgotten with the block.
+func TestBlocksOutliveTheEndOfTheirJob(t *testing.T) {
+	for lost := 1; lost <= 6; lost++ {
+		t.Run(fmt.Sprint("lost from write ", lost), func(t *testing.T) {
+			w := worldOf(t, onePageATransaction())
+			spare(t, w)
+			j := w.Submit(severalBlocks(1, protocol.Array), 6*time.Second)
+			if !w.Until(30*time.Second, func() bool { return w.Running(j.Sub.ID) == j.Sub.Tasks }) {
+				t.Fatal("not all tasks run")
+			}
+			w.Run(2 * time.Second)
+			w.HoldsWrites = true
+			w.Network = losesPagesOf(w, j.Sub.ID, lost)
+			before := w.Now
+			if !w.Until(20*time.Second, func() bool { return len(j.DoneTasks) == j.Sub.Tasks }) {
+				t.Fatal("the tasks don't end")
+			}
+			for w.Now < before+10*time.Second {
+				w.Run(50 * time.Millisecond)
+				doneAreRecorded(t, w, j)
+			}
+			w.Leader().Crash()
+			w.Network = nil
+			pollFor(w, 30*time.Second)
+			check(t, w)
+			served(t, w)
+		})
+	}
+}
+
+// losesPagesOf loses every write of the page that has a job's record, from such a one on
+// (the first is 1); writes of other pages pass.
+func losesPagesOf(w *fake.World, id string, from int) func(kind, from, to string) fake.Fate {
+	writes := 0
+	return func(kind, _, _ string) fake.Fate {
+		f := fake.Well()
+		if kind == "write" {
+			writes++
+			f.LoseRequest = writes >= from && writes%2 == from%2
+		}
+		return f
+	}
+}
+
+// doneAreRecorded fails if a job is recorded as unfinished, and the ends of tasks that were
+// recorded are so no longer.
+func doneAreRecorded(t *testing.T, w *fake.World, j *fake.Job) {
+	t.Helper()
+	unfinished, _ := recordedJobs(t, pagesOf(w))
+	if _, open := unfinished[j.Sub.ID]; !open {
+		return
+	}
+	tasks := 0
+	for _, value := range pagesOf(w) {
+		tasks += recordedTasks(t, value, j.Sub.ID)
+	}
+	if tasks < j.Sub.Tasks {
+		t.Fatalf("%v: of %d tasks that were started %d are recorded as started or done", w.Now, j.Sub.Tasks, tasks)
+	}
+}
+
+// recordedTasks counts a job's tasks that a page names as started or done.
+func recordedTasks(t *testing.T, value []byte, id string) int {
+	t.Helper()
+	var page storage.PageValue
+	if err := protocol.Decode(value, &page); err != nil {
+		t.Fatal(err)
+	}
+	blockTasks := storage.BlockTasks(storage.PageBytes(fake.Settings().State.ValueKB))
+	n := 0
+	full := storage.Bits{}
+	for _, r := range page.Jobs {
+		if r.ID != id {
+			continue
+		}
+		full, _ = storage.ParseBits(r.Full)
+		for b := 0; b*blockTasks < r.Tasks; b++ {
+			if full.Has(b) {
+				n += min(blockTasks, r.Tasks-b*blockTasks)
+			}
+		}
+	}
+	for _, r := range page.Blocks {
+		if r.Job != id || full.Has(r.Block) {
+			continue
+		}
+		done, err := storage.ParseBits(r.Done)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n += len(r.Starts)
+		for i := range blockTasks {
+			if done.Has(i) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// A gang is accepted, and of its first attempt the starts of some blocks are durable, and
+// the record with the attempt's number is not, when the leader ends. The successor starts
+// what is missing with the number that the others have: members of two attempts would wait
+// for each other in vain.
+func TestGangMembersHaveOneAttempt(t *testing.T) {
+	for lost := 2; lost <= 5; lost++ {
+		t.Run(fmt.Sprint("lost from write ", lost), func(t *testing.T) {
+			w := worldOf(t, onePageATransaction())
+			spare(t, w)
+			w.Run(5 * time.Second)
+			tries := map[int64]bool{}
+			w.Overheard = func(r protocol.Report) {
+				for _, task := range r.Tasks {
+					if task.Job == "wk-000001" {
+						tries[task.Try] = true
+					}
+				}
+			}
+			w.Network = losesWrite(w, lost)
+			j := w.Submit(severalBlocks(1, protocol.Gang), 5*time.Second)
+			w.Run(300 * time.Millisecond)
+			w.Leader().Crash()
+			w.Network = nil
+			pollFor(w, 60*time.Second)
+			check(t, w)
+			if len(tries) != 1 {
+				t.Errorf("members of %d attempts were started", len(tries))
+			}
+			if j.Told != protocol.StatusDone {
+				t.Errorf("the gang is called %q", j.Told)
+			}
+		})
+	}
+}
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -14,6 +14,10 @@
 	if idle < j.Tasks-j.done && j.gangRan {
 		return
 	}
+	if j.awaitsRecord(idle) > 0 {
+		e.fleet.unplaced = append(e.fleet.unplaced, wait{j, e.withinLimit(j, idle)})
+		return
+	}
 	if left := e.withinLimit(j, idle); left < idle {
 		e.makeWayInLimit(j, idle-left)
 		return
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -123,6 +123,22 @@
 	return 1 // of an array or a service: the others can wait
 }
 
+// awaitsRecord is how many of a job's idle tasks must not be placed before its own record
+// is durable. The first block is on the page of that record and is written with it. Other
+// blocks, and a gang's starts on them, could be durable and sent before the job is: a
+// successor would know no such job, and its user, who was never answered, submits it again.
+func (j *job) awaitsRecord(idle int) int {
+	switch {
+	case j.recordsParts:
+		return idle
+	case j.committed || j.blockCount() == 1:
+		return 0
+	case j.Shape == protocol.Gang:
+		return idle
+	}
+	return max(0, idle-(j.blockLen(0)-len(j.tasks)))
+}
+
 // recordable tells whether one more start of a task's block fits the page that it is
 // on. Blocks that are cut for larger limits of the state service may be full. A gang's
 // starts are recorded together; whether they fit is asked when it is submitted.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -78,6 +78,8 @@
 			continue
 		}
 		idle := j.idle()
+		later := j.awaitsRecord(idle)
+		idle -= later
 		use := j.zoneUse()
 		for idle > 0 && j.team.allows(j.need.plus(j.team.heldFrom(j))) {
 			h := e.choose(j, use)
@@ -95,8 +97,10 @@
 			idle--
 		}
 		left := e.withinLimit(j, idle)
+		if left+later > 0 {
+			e.fleet.unplaced = append(e.fleet.unplaced, wait{j, e.withinLimit(j, idle+later)})
+		}
 		if left > 0 {
-			e.fleet.unplaced = append(e.fleet.unplaced, wait{j, left})
 			e.makeRoom(j, left, use)
 		}
 		if left < idle {
--- a/internal/coordination/task.go
+++ b/internal/coordination/task.go
@@ -221,13 +221,7 @@
 		return
 	}
 	j.over = true
-	now := e.n.now.Mono
 	e.recordEnd(j, w)
-	for bn := 1; bn < j.blockCount(); bn++ {
-		if b := j.blocks[bn]; b != nil {
-			e.store.Remove(now, b, nil)
-		}
-	}
 	e.order = slices.DeleteFunc(e.order, func(x *job) bool { return x == j })
 	e.schedule = true
 }
@@ -239,9 +233,7 @@
 	ended := func() {
 		e.finals[f.ID] = f
 		delete(e.jobs, f.ID)
-		for _, p := range j.parts {
-			e.store.Remove(e.n.now.Mono, p, nil)
-		}
+		e.removeRest(j)
 		if !f.Cancelled {
 			e.prerequisiteDone(f.ID)
 		}
@@ -258,6 +250,19 @@
 	e.store.Touch(e.n.now.Mono, f, wait)
 }
 
+// removeRest removes what is recorded of a job beside its end. It may go only once that is
+// durable: a successor that found the job without its blocks would start their tasks again.
+func (e *engine) removeRest(j *job) {
+	for bn := 1; bn < j.blockCount(); bn++ {
+		if b := j.blocks[bn]; b != nil {
+			e.store.Remove(e.n.now.Mono, b, nil)
+		}
+	}
+	for _, p := range j.parts {
+		e.store.Remove(e.n.now.Mono, p, nil)
+	}
+}
+
 // failed notes a task's error: a machine where different jobs fail is set
 // aside; a job that fails on different machines is retried ever more slowly.
 func (e *engine) failed(j *job, h *host) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -123,6 +123,7 @@
 	e.recordParts(j, func() {
 		e.store.Touch(e.n.now.Mono, j.blocks[0], storage.OnCommit(func() {
 			j.committed = true
+			e.schedule = e.schedule || j.blockCount() > 1 || len(j.parts) > 0 // see awaitsRecord
 			j.cancelKnown = j.cancelKnown || cancelled
 			e.answerJob(c.ID, 201, j, false)
 			e.settle(j, nil)
