Stand-ins: tasks on machines indexed by job, the other components' side of the wire in protocol

A worker reports a higher token at most once in half a lease, as the protocol says. No test changed.

--- a/internal/fake/gangs.go
+++ b/internal/fake/gangs.go
@@ -4,18 +4,14 @@
 	"time"
 )
 
-func (w *World) members(t *work, f func(*work)) {
-	w.each(func(_ *Worker, t2 *work) {
-		if t2.Job == t.Job && t2.Try == t.Try {
-			f(t2)
-		}
-	})
-}
-
 // gangComplete tells whether every task of the attempt waits or runs.
 func (w *World) gangComplete(t *work) bool {
 	n := 0
-	w.members(t, func(*work) { n++ })
+	for m := range t.job.on {
+		if m.Try == t.Try {
+			n++
+		}
+	}
 	return n == t.job.Sub.Tasks
 }
 
--- a/internal/fake/pipelines.go
+++ b/internal/fake/pipelines.go
@@ -57,6 +57,9 @@
 // checkPipeline checks what a user hears of a job against what was said of the jobs
 // that it needs, and of those that need it.
 func (w *World) checkPipeline(j *Job, status string, asked time.Duration) {
+	if !w.pipelines {
+		return
+	}
 	ancestors := w.ancestors(j)
 	if status == protocol.StatusQueued || status == protocol.StatusRunning {
 		for p := range ancestors {
--- a/internal/fake/rules.go
+++ b/internal/fake/rules.go
@@ -42,33 +42,29 @@
 	j.Told, j.toldAt = a.Status, w.Now
 	if a.Status == protocol.StatusCancelled && !j.Cancelled {
 		j.Cancelled, j.CancelAt = true, w.Now
+		w.cancelled = append(w.cancelled, j)
 	}
 }
 
-func (w *World) each(f func(k *Worker, t *work)) {
-	for _, name := range w.workerNames {
-		k := w.Workers[name]
-		for _, t := range sortedTasks(k.tasks) {
-			if t.on {
-				f(k, t)
-			}
-		}
-	}
+// addUse counts what a team's tasks on machines use.
+func (w *World) addUse(s protocol.Submission, tasks float64) {
+	u := w.use[s.Team]
+	w.use[s.Team] = [2]float64{u[0] + tasks*s.CPUs, u[1] + tasks*s.GPUs}
 }
 
 // checkStart checks the rules for a task that has just got its image.
 func (w *World) checkStart(k *Worker, t *work) {
 	j := t.job
 	zones := map[string]int{k.m.Zone: 1}
-	w.each(func(k2 *Worker, t2 *work) {
-		if t2 == t || t2.Job != t.Job {
-			return
+	for t2 := range j.on {
+		if t2 == t {
+			continue
 		}
 		if t2.Task == t.Task {
-			w.fail("ran_twice", "%s/%d on %s while on %s", t.Job, t.Task, k.m.Host, k2.m.Host)
+			w.fail("ran_twice", "%s/%d on %s while on %s", t.Job, t.Task, k.m.Host, t2.worker.m.Host)
 		}
-		zones[k2.m.Zone]++
-	})
+		zones[t2.worker.m.Zone]++
+	}
 	s := j.Sub
 	if s.Types != nil && !slices.Contains(s.Types, k.m.Type) || s.Zone != "" && s.Zone != k.m.Zone || !s.Spot && k.m.Spot ||
 		s.OneZone && len(zones) > 1 || s.Spread && zones[k.m.Zone] > (s.Tasks+1)/2 {
@@ -86,16 +82,9 @@
 }
 
 func (w *World) checkAlways() {
-	use := map[string][2]float64{}
-	w.each(func(_ *Worker, t *work) {
-		u := use[t.job.Sub.Team]
-		use[t.job.Sub.Team] = [2]float64{u[0] + t.job.Sub.CPUs, u[1] + t.job.Sub.GPUs}
-		if t.job.Cancelled && w.Now > t.job.CancelAt+sec(w.Cfg.Settings.Workers.Cancel) {
-			w.fail("ran_cancelled", "%s/%d is still on a machine", t.Job, t.Task)
-		}
-	})
+	w.checkCancelled()
 	for _, t := range w.Cfg.Settings.Teams {
-		u := use[t.Name]
+		u := w.use[t.Name]
 		if t.CPUsMax > 0 && u[0] > t.CPUsMax+1e-6 || t.GPUsMax > 0 && u[1] > t.GPUsMax+1e-6 {
 			w.fail("quota", "%s uses %v", t.Name, u)
 		}
@@ -110,3 +99,17 @@
 		w.fail("term", "%d nodes are certain to lead", leaders)
 	}
 }
+
+// checkCancelled looks for tasks of cancelled jobs that are still on machines.
+func (w *World) checkCancelled() {
+	within := sec(w.Cfg.Settings.Workers.Cancel)
+	w.cancelled = slices.DeleteFunc(w.cancelled, func(j *Job) bool {
+		if w.Now <= j.CancelAt+within {
+			return false
+		}
+		for t := range j.on {
+			w.fail("ran_cancelled", "%s/%d is still on a machine", t.Job, t.Task)
+		}
+		return len(j.on) == 0 // what starts from now on is found by checkStart
+	})
+}
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -42,7 +42,8 @@
 	Cancelled bool // and was told that it is
 	Told      string
 	toldAt    time.Duration
-	ancestors map[*Job]bool // see World.ancestors
+	on        map[*work]bool // its tasks that are on machines
+	ancestors map[*Job]bool  // see World.ancestors
 	// AnsweredAt is when a question about it was last answered with 200; 0: never.
 	AnsweredAt time.Duration
 }
@@ -50,6 +51,7 @@
 // Submit hands a job in, and again until it is accepted, as users do.
 func (w *World) Submit(s protocol.Submission, run time.Duration) *Job {
 	j := &Job{Sub: s, Run: run, Saved: map[int]time.Duration{}, DoneTasks: map[int]bool{}}
+	w.pipelines = w.pipelines || len(s.Prerequisites) > 0
 	w.Jobs[s.ID] = j
 	w.jobNames = append(w.jobNames, s.ID)
 	w.submit(j)
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -1,7 +1,6 @@
 package fake
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -12,7 +11,8 @@
 type work struct {
 	protocol.TaskReport
 	job    *Job
-	on     bool          // has its image
+	worker *Worker
+	on     bool          // has its image and is on its machine, see occupy
 	ready  time.Duration // when it has
 	ran    time.Duration // when it began to run
 	saveBy time.Duration
@@ -27,6 +27,7 @@
 	target int // index of the node it reports to
 
 	session, seq, token int64
+	tokenAt             time.Duration // when a higher token last counted as a change
 	leaseFrom           time.Duration // when the last answered report was sent
 	tasks               []*work
 	nextReport          time.Duration
@@ -48,7 +49,38 @@
 	slices.Sort(w.workerNames)
 }
 
-func (k *Worker) vanish() { k.gone, k.tasks = true, nil }
+func (k *Worker) vanish() {
+	k.gone = true
+	k.loseTasks()
+}
+
+// loseTasks has every task gone at once.
+func (k *Worker) loseTasks() {
+	for _, t := range k.tasks {
+		k.leave(t)
+	}
+	k.tasks = nil
+}
+
+// occupy notes that a task is on its machine from now on.
+func (k *Worker) occupy(t *work) {
+	t.on = true
+	if t.job.on == nil {
+		t.job.on = map[*work]bool{}
+	}
+	t.job.on[t] = true
+	k.w.addUse(t.job.Sub, 1)
+}
+
+// leave notes that a task is no longer on its machine.
+func (k *Worker) leave(t *work) {
+	if !t.on {
+		return
+	}
+	t.on = false
+	delete(t.job.on, t)
+	k.w.addUse(t.job.Sub, -1)
+}
 
 func (k *Worker) find(a protocol.Attempt) *work {
 	for _, t := range k.tasks {
@@ -86,7 +118,9 @@
 	}
 	if now-k.leaseFrom > sec(w.Cfg.Settings.Workers.Lease) {
 		k.session++
-		k.tasks, k.leaseFrom, k.images = nil, now, map[string]time.Duration{}
+		w.KilledByLease += len(k.tasks)
+		k.loseTasks()
+		k.leaseFrom, k.images = now, map[string]time.Duration{}
 		k.nextReport = now
 	}
 	if now < k.HangUntil {
@@ -108,7 +142,7 @@
 			return
 		}
 		k.images[t.job.Sub.Image] = t.ready
-		t.on = true
+		k.occupy(t)
 		w.checkStart(k, t)
 		switch {
 		case k.Sick || t.job.Broken:
@@ -152,7 +186,8 @@
 }
 
 func (k *Worker) exit(t *work, why protocol.Cause) {
-	t.State, t.Cause, t.on = protocol.Exited, why, false
+	k.leave(t)
+	t.State, t.Cause = protocol.Exited, why
 	k.soon()
 }
 
@@ -206,14 +241,10 @@
 					k.inFlight = false
 					k.nextReport = w.Now + time.Second
 					k.target = (node + 1) % len(w.Nodes)
-					var to struct {
-						Foreman string `msgpack:"foreman"`
-					}
-					if protocol.Decode(a.Body, &to) == nil {
-						for i, n := range w.Nodes {
-							if n.Name == to.Foreman && i != node {
-								k.target, k.nextReport = i, w.Now+100*time.Millisecond
-							}
+					to := protocol.DecodeReportTo(a.Body)
+					for i, n := range w.Nodes {
+						if n.Name == to && i != node {
+							k.target, k.nextReport = i, w.Now+100*time.Millisecond
 						}
 					}
 				default:
@@ -224,64 +255,46 @@
 	})
 }
 
-type wireAnswer struct {
-	Baton  int64 `msgpack:"baton"`
-	Shift  int64 `msgpack:"shift"`
-	Orders []struct {
-		Verb     string  `msgpack:"verb"`
-		Piece    string  `msgpack:"piece"`
-		Try      int64   `msgpack:"try"`
-		WindDown float64 `msgpack:"wind_down_s"`
-	} `msgpack:"orders"`
-}
-
 func (k *Worker) answered(body []byte, sent time.Duration) {
-	var a wireAnswer
-	if err := protocol.Decode(body, &a); err != nil {
+	a, err := protocol.DecodeOrders(body)
+	if err != nil {
 		k.w.fail("worker", "an answer that can't be read: %v", err)
 		return
 	}
-	if a.Baton < k.token {
+	if a.Token < k.token {
 		return
 	}
-	if a.Baton > k.token {
-		k.token = a.Baton
+	k.sawToken(a.Token)
+	k.leaseFrom = max(k.leaseFrom, sent)
+	k.run(a.Commands)
+}
+
+// sawToken notes a token. A higher one is a change that is reported, though not more often
+// than once in half a lease.
+func (k *Worker) sawToken(token int64) {
+	if token <= k.token {
+		return
+	}
+	k.token = token
+	if half := sec(k.w.Cfg.Settings.Workers.Lease) / 2; k.tokenAt == 0 || k.w.Now-k.tokenAt >= half {
+		k.tokenAt = k.w.Now
 		k.soon()
 	}
-	k.leaseFrom = max(k.leaseFrom, sent)
-	k.run(a)
 }
 
-func (k *Worker) run(a wireAnswer) {
-	for _, o := range a.Orders {
-		at, ok := k.w.attempt(o.Piece, o.Try)
-		if !ok {
-			k.w.fail("worker", "a command for %q", o.Piece)
-			continue
-		}
-		t := k.find(at)
-		switch o.Verb {
-		case "start":
+func (k *Worker) run(commands []protocol.Command) {
+	for _, c := range commands {
+		t := k.find(c.Attempt)
+		switch c.Verb {
+		case protocol.Start:
 			if t == nil {
-				k.start(at)
+				k.start(c.Attempt)
 			}
-		case "halt":
-			if t == nil || t.State == protocol.Exited {
-				continue
+		case protocol.Stop:
+			if t != nil && t.State != protocol.Exited {
+				k.stop(t, c.Grace)
 			}
-			sub := t.job.Sub
-			switch {
-			case t.State == protocol.Saving:
-				if o.WindDown == 0 {
-					k.exit(t, protocol.Stopped)
-				}
-			case t.State == protocol.Running && sub.SaveEach > 0 && sub.Shape != protocol.Gang && o.WindDown >= sub.SaveTime:
-				t.State, t.saveBy = protocol.Saving, k.w.Now+sec(sub.SaveTime)
-				k.soon()
-			default:
-				k.exit(t, protocol.Stopped)
-			}
-		case "forget":
+		case protocol.Forget:
 			if t != nil && t.State == protocol.Exited {
 				k.tasks = slices.DeleteFunc(k.tasks, func(x *work) bool { return x == t })
 				k.soon()
@@ -290,9 +303,25 @@
 	}
 }
 
+// stop has a task save what it can within the grace, and exit.
+func (k *Worker) stop(t *work, grace float64) {
+	saves := t.job != nil && t.job.Sub.SaveEach > 0 && t.job.Sub.Shape != protocol.Gang && grace >= t.job.Sub.SaveTime
+	switch {
+	case t.State == protocol.Saving:
+		if grace == 0 {
+			k.exit(t, protocol.Stopped)
+		}
+	case t.State == protocol.Running && saves:
+		t.State, t.saveBy = protocol.Saving, k.w.Now+sec(t.job.Sub.SaveTime)
+		k.soon()
+	default:
+		k.exit(t, protocol.Stopped)
+	}
+}
+
 func (k *Worker) start(at protocol.Attempt) {
 	w := k.w
-	t := &work{TaskReport: protocol.TaskReport{Attempt: at, State: protocol.Fetching}, job: w.Jobs[at.Job]}
+	t := &work{TaskReport: protocol.TaskReport{Attempt: at, State: protocol.Fetching}, job: w.Jobs[at.Job], worker: k}
 	k.tasks = append(k.tasks, t)
 	k.soon()
 	if t.job == nil {
@@ -327,24 +356,14 @@
 	if c.Token < k.token || c.Session != k.session {
 		r.Outcome = coordination.Conflict
 	} else {
-		if c.Token > k.token {
-			k.token = c.Token
-			k.soon()
-		}
-		var a wireAnswer
-		if err := protocol.Decode(protocol.EncodeOrders(c.Token, c.Session, c.Commands), &a); err != nil {
+		k.sawToken(c.Token)
+		o, err := protocol.DecodeOrders(protocol.EncodeOrders(c.Token, c.Session, c.Commands))
+		if err != nil {
 			k.w.fail("worker", "orders that can't be read: %v", err)
+			return r
 		}
-		k.run(a)
+		k.run(o.Commands)
 	}
 	r.Report = k.report()
 	return r
 }
-
-func sortedTasks(ts []*work) []*work {
-	out := slices.Clone(ts)
-	slices.SortFunc(out, func(a, b *work) int {
-		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
-	})
-	return out
-}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -2,8 +2,8 @@
 
 import (
 	"container/heap"
+	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"oakpick/internal/config"
@@ -46,8 +46,14 @@
 	// read it and written it back.
 	Production func(key string, value []byte) []byte
 
+	// KilledByLease counts tasks that workers ended because their lease had lapsed.
+	KilledByLease int
+
 	workerNames []string
 	jobNames    []string
+	pipelines   bool                  // some job names prerequisites
+	use         map[string][2]float64 // processors and GPUs of tasks on machines, by team
+	cancelled   []*Job                // their users were told so, and tasks may still be on machines
 	queue       events
 	seq         int
 	seeds       uint64
@@ -79,7 +85,7 @@
 // NewWorld makes a world with as many controllers as the settings say, which have just
 // started.
 func NewWorld(s config.Settings) *World {
-	w := &World{Cfg: &config.Config{Settings: s}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}}
+	w := &World{Cfg: &config.Config{Settings: s}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, use: map[string][2]float64{}}
 	w.State = newState(w, s.State)
 	w.Cloud = &Cloud{w: w, types: Types(), requests: map[string][]string{}, Most: 16}
 	drifts := []float64{0, 0.0005, -0.0005}
@@ -153,31 +159,32 @@
 	return nil
 }
 
-func (w *World) attempt(piece string, try int64) (protocol.Attempt, bool) {
-	job, index, ok := strings.Cut(piece, "/")
-	n, err := strconv.Atoi(index)
-	return protocol.Attempt{Job: job, Task: n, Try: try}, ok && err == nil
-}
-
 // Running counts a job's tasks that run.
 func (w *World) Running(id string) int {
 	n := 0
-	w.each(func(_ *Worker, t *work) {
-		if t.Job == id && t.State == protocol.Running {
+	for t := range w.present(id) {
+		if t.State == protocol.Running {
 			n++
 		}
-	})
+	}
 	return n
 }
 
+// present is the set of a job's tasks that are on machines.
+func (w *World) present(id string) map[*work]bool {
+	if j := w.Jobs[id]; j != nil {
+		return j.on
+	}
+	return nil
+}
+
 // On names the machines on which a job has tasks.
 func (w *World) On(id string) []string {
 	var out []string
-	w.each(func(k *Worker, t *work) {
-		if t.Job == id {
-			out = append(out, k.m.Host)
-		}
-	})
+	for t := range w.present(id) {
+		out = append(out, t.worker.m.Host)
+	}
+	slices.Sort(out)
 	return out
 }
 
--- /dev/null
+++ b/internal/protocol/standin.go
@@ -0,0 +1,167 @@
+package protocol
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// This file is the other components' side of the interfaces, for stand-ins: what workers,
+// users, the state service and the cloud read and write.
+
+// word finds the wire word of a value.
+func word[V comparable](words map[string]V, value V) string {
+	for w, v := range words {
+		if v == value {
+			return w
+		}
+	}
+	return ""
+}
+
+// EncodeReport is a worker's report.
+func EncodeReport(r *Report) []byte {
+	pieces := make([]wirePiece, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		pieces[i] = wirePiece{Piece: t.piece(), Try: &t.Try, Status: word(stateWords, t.State), Kept: t.Saved}
+		if t.State == Exited {
+			pieces[i].Cause = word(causeWords, t.Cause)
+		}
+	}
+	w := wireReport{
+		Host: &r.Host, Address: &r.Addr, Kind: &r.Type, Site: &r.Zone, Loaners: &r.Spot,
+		Shift: &r.Session, Tick: &r.Seq, Baton: &r.Token, Pieces: &pieces,
+	}
+	if r.Notice >= 0 {
+		w.Recall = &r.Notice
+	}
+	return Encode(w)
+}
+
+// Orders are a worker's commands: the answer to a report, or the body of a direct command.
+type Orders struct {
+	Token    int64
+	Session  int64 // of direct commands
+	Commands []Command
+	// Complete tells whether both token and session are there.
+	Complete bool
+}
+
+// DecodeOrders reads commands to a worker.
+func DecodeOrders(body []byte) (*Orders, error) {
+	var w struct {
+		Baton  *int64        `msgpack:"baton"`
+		Shift  *int64        `msgpack:"shift"`
+		Orders []wireCommand `msgpack:"orders"`
+	}
+	if err := Decode(body, &w); err != nil {
+		return nil, malformed("%v", err)
+	}
+	o := &Orders{Complete: w.Baton != nil && w.Shift != nil}
+	if w.Baton != nil {
+		o.Token = *w.Baton
+	}
+	if w.Shift != nil {
+		o.Session = *w.Shift
+	}
+	verbs := map[string]Verb{verbStart: Start, verbStop: Stop, verbForget: Forget}
+	for _, c := range w.Orders {
+		job, index, ok := parsePiece(c.Piece)
+		verb, known := verbs[c.Verb]
+		if !ok || !known {
+			return nil, malformed("a command %q for %q", c.Verb, c.Piece)
+		}
+		command := Command{Verb: verb, Attempt: Attempt{Job: job, Task: index, Try: c.Try}}
+		if c.WindDown != nil {
+			command.Grace = *c.WindDown
+		}
+		o.Commands = append(o.Commands, command)
+	}
+	return o, nil
+}
+
+// DecodeReportTo reads which node a 421 sends a worker to; empty: none.
+func DecodeReportTo(body []byte) string {
+	var w struct {
+		Foreman string `msgpack:"foreman"`
+	}
+	if Decode(body, &w) != nil {
+		return ""
+	}
+	return w.Foreman
+}
+
+// EncodeSubmission is a user's submission.
+func EncodeSubmission(s *Submission) []byte {
+	shape, rank, pieces := word(shapeWords, s.Shape), word(priorityWords, s.Priority), int64(s.Tasks)
+	w := wireSubmission{
+		ID: &s.ID, JobClass: &s.Class, Owner: &s.Team, Shape: &shape, Rank: &rank, Pieces: &pieces,
+		VCPUs: &s.CPUs, GPUs: &s.GPUs, MemGB: &s.MemoryGB, Bundle: &s.Image, ImageGB: &s.ImageGB,
+		Together: &s.OneZone, Spread: &s.Spread, Loaners: &s.Spot, Expected: &s.Estimate,
+		Savepoint: &s.SaveEach, Saving: &s.SaveTime,
+	}
+	if s.Types != nil {
+		kinds := slices.Clone(s.Types)
+		w.Kinds = &kinds
+	}
+	if s.Zone != "" {
+		w.Site = &s.Zone
+	}
+	if s.Deadline > 0 {
+		w.Due = &s.Deadline
+	}
+	if s.Prerequisites != nil {
+		needs := slices.Clone(s.Prerequisites)
+		w.Prereqs = &needs
+	}
+	return Encode(w)
+}
+
+// JobPath is where a job is, and with cancel where it is cancelled.
+func JobPath(id string, cancel bool) string {
+	path := PathJobs + "/" + id
+	if cancel {
+		path += abortSuffix
+	}
+	return path
+}
+
+// DecodeTxn reads a transaction as the state service gets it. Values stay as they came.
+func DecodeTxn(body []byte) (Txn, error) {
+	var w struct {
+		If   []Condition `msgpack:"if"`
+		Then []struct {
+			Put   string             `msgpack:"write"`
+			Value msgpack.RawMessage `msgpack:"value"`
+			Lease int64              `msgpack:"permit"`
+		} `msgpack:"then"`
+	}
+	if err := Decode(body, &w); err != nil {
+		return Txn{}, malformed("%v", err)
+	}
+	txn := Txn{If: w.If}
+	for _, c := range w.Then {
+		if c.Put == "" {
+			return Txn{}, malformed("a change without a key")
+		}
+		txn.Then = append(txn.Then, Change{Put: c.Put, Value: c.Value, Lease: c.Lease})
+	}
+	return txn, nil
+}
+
+// SplitGrantPath takes apart the path of a request about a lease.
+func SplitGrantPath(path string) (lease int64, renew, ok bool) {
+	rest, ok := strings.CutPrefix(path, PathGrants+"/")
+	if !ok {
+		return 0, false, false
+	}
+	rest, renew = strings.CutSuffix(rest, renewSuffix)
+	lease, err := strconv.ParseInt(rest, 10, 64)
+	return lease, renew, err == nil
+}
+
+// EncodeNoCapacity is the cloud's refusal for want of machines.
+func EncodeNoCapacity() []byte { return EncodeError(noCapacity) }
--- a/internal/protocol/words.go
+++ b/internal/protocol/words.go
@@ -129,12 +129,14 @@
 	MaxReturned = 100
 )
 
+const noCapacity = "no capacity"
+
 // NoCapacity tells a refusal for want of machines from the cloud's troubles.
 func NoCapacity(body []byte) bool {
 	var a struct {
 		Error string `msgpack:"error"`
 	}
-	return Decode(body, &a) == nil && a.Error == "no capacity"
+	return Decode(body, &a) == nil && a.Error == noCapacity
 }
 
 // StartCountsS is how long a task has to be left alone for its start to count.
