--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -26,8 +26,12 @@
 	// Most is how many machines there are of each kind and place.
 	Most int
 	// Late delays boots; Never keeps the next machines from coming up.
-	Late  time.Duration
-	Never int
+	Late time.Duration
+	// MostOf overrides Most for a type.
+	MostOf map[string]int
+	// Address gives the address of the n-th machine; nil: one that nobody connects to.
+	Address func(n int) string
+	Never   int
 }
 
 func (c *Cloud) execute(call coordination.CloudCall) coordination.CloudResult {
@@ -69,7 +73,11 @@
 				have++
 			}
 		}
-		n := min(q.Count, c.Most-have)
+		most, ok := c.MostOf[q.Type]
+		if !ok {
+			most = c.Most
+		}
+		n := min(q.Count, most-have)
 		if n <= 0 {
 			r.Outcome = coordination.NotFound
 			return r
@@ -92,8 +100,12 @@
 // Add makes a machine, which boots and starts to report.
 func (c *Cloud) Add(kind, zone string, spot bool) *machine {
 	c.next++
+	addr := fmt.Sprintf("10.1.0.%d:9000", c.next)
+	if c.Address != nil {
+		addr = c.Address(c.next)
+	}
 	m := &machine{rented: c.w.Now, Machine: protocol.Machine{
-		Host: fmt.Sprintf("i-%06d", c.next), Addr: fmt.Sprintf("10.1.0.%d:9000", c.next), Type: kind, Zone: zone, Spot: spot, Status: protocol.MachineBooting,
+		Host: fmt.Sprintf("i-%06d", c.next), Addr: addr, Type: kind, Zone: zone, Spot: spot, Status: protocol.MachineBooting,
 	}}
 	c.machines = append(c.machines, m)
 	if c.Never > 0 {
--- a/internal/fake/events.go
+++ b/internal/fake/events.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"container/heap"
 	"time"
 )
 
@@ -28,3 +29,8 @@
 	*e = old[:len(old)-1]
 	return x
 }
+
+func (e *events) add(x event) { heap.Push(e, x) }
+
+// next takes the earliest event.
+func (e *events) next() event { return heap.Pop(e).(event) }
--- /dev/null
+++ b/internal/fake/live.go
@@ -0,0 +1,140 @@
+package fake
+
+import (
+	"time"
+
+	"oakpick/internal/config"
+	"oakpick/internal/coordination"
+	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
+)
+
+// Send carries a request to a controller that runs outside the world, and its reply back.
+// Both are called by the world's owner.
+type Send func(request coordination.Request, reply func(coordination.Reply))
+
+// NewLive makes a world whose controllers run outside it, as real processes. Its time is
+// what Advance is told. It has one owner: nothing of it may be used by two goroutines.
+func NewLive(s config.Settings, types []protocol.MachineType, controllers []string, send func(controller int) Send) *World {
+	w := newWorld(s, types)
+	for i, name := range controllers {
+		w.Nodes = append(w.Nodes, &Node{w: w, Name: name, Index: i, remote: send(i)})
+	}
+	return w
+}
+
+// Advance lets time pass until a moment.
+func (w *World) Advance(to time.Duration) {
+	for w.Now < to {
+		next := min(to, w.ticked+step)
+		w.happen(next)
+		if next == w.ticked+step {
+			w.tick()
+		}
+	}
+}
+
+// NextAt is when something happens next in the world.
+func (w *World) NextAt() time.Duration {
+	next := w.ticked + step
+	if len(w.queue) > 0 {
+		next = min(next, w.queue[0].at)
+	}
+	return next
+}
+
+// happen lets everything happen that was planned until a moment.
+func (w *World) happen(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := w.queue.next()
+		w.Now = max(w.Now, e.at)
+		e.do()
+	}
+	w.Now = until
+}
+
+// tick has everybody look at what time calls for.
+func (w *World) tick() {
+	w.ticked = w.Now
+	for _, name := range w.workerNames {
+		w.Workers[name].tick()
+	}
+	for _, n := range w.Nodes {
+		n.step(coordination.Tick{})
+	}
+	w.checkAlways()
+}
+
+// ServeState executes a request to the state service, and answers it unless the network
+// keeps that from happening.
+func (w *World) ServeState(c storage.StateCall, answer func(storage.StateResult)) {
+	w.exchange("state", "", "state", func() {
+		r := w.State.execute("", false, c)
+		w.After(w.fate("state", "state", "").Answer, func() { answer(r) })
+	})
+}
+
+// ServeCloud executes a request to the cloud.
+func (w *World) ServeCloud(c coordination.CloudCall, answer func(coordination.CloudResult)) {
+	w.exchange("cloud", "", "cloud", func() {
+		r := w.Cloud.execute(c)
+		w.After(w.fate("cloud", "cloud", "").Answer, func() { answer(r) })
+	})
+}
+
+// ServeOrders has a worker execute direct commands. A machine without power, one that
+// hangs or one that is cut off answers nothing.
+func (w *World) ServeOrders(c coordination.OrdersCall, answer func(coordination.OrdersResult)) {
+	w.exchange("orders", "", c.Host, func() {
+		if r, answered := w.command(c); answered {
+			answer(r)
+		}
+	})
+}
+
+func (w *World) exchange(kind, from, to string, execute func()) {
+	f := w.fate(kind, from, to)
+	if !f.LoseRequest {
+		w.After(f.Request, execute)
+	}
+}
+
+// command has a worker execute direct commands, when it resumes if it hangs.
+func (w *World) command(c coordination.OrdersCall) (r coordination.OrdersResult, answered bool) {
+	k := w.Workers[c.Host]
+	if k == nil || k.gone {
+		return r, false
+	}
+	if w.Now < k.HangUntil {
+		w.After(k.HangUntil-w.Now, func() {
+			if !k.gone {
+				k.orders(c)
+			}
+		})
+		return r, false
+	}
+	return k.orders(c), true
+}
+
+// Poll asks some controller about a job.
+func (w *World) Poll(j *Job) { w.poll(w.pick(), j) }
+
+// pick chooses a controller for a user's request, as the load balancer does.
+func (w *World) pick() *Node {
+	for range w.Nodes {
+		w.seq++
+		if n := w.Nodes[w.seq%len(w.Nodes)]; !n.Unhealthy {
+			return n
+		}
+	}
+	return w.Nodes[w.seq%len(w.Nodes)]
+}
+
+// OnMachines counts the tasks that are on machines.
+func (w *World) OnMachines() int {
+	n := 0
+	for _, name := range w.workerNames {
+		n += len(w.Workers[name].tasks)
+	}
+	return n
+}
--- a/internal/fake/node.go
+++ b/internal/fake/node.go
@@ -30,6 +30,10 @@
 	// what it stores: see World.Production. It counts from the next start.
 	Old bool
 	old bool
+	// Unhealthy keeps the load balancer from it.
+	Unhealthy bool
+	// remote carries requests to the process, if it runs outside the world.
+	remote Send
 }
 
 // Start starts a node's process.
@@ -66,6 +70,10 @@
 func (n *Node) Stats() coordination.Stats { return n.node.Stats }
 
 func (n *Node) deliver(request coordination.Request, reply func(coordination.Reply)) {
+	if n.remote != nil {
+		n.remote(request, reply)
+		return
+	}
 	if !n.Up {
 		return
 	}
@@ -187,19 +195,7 @@
 			}
 		}
 		n.call("orders", e.Host, report*3/4, func() (coordination.Command, bool) {
-			k := w.Workers[e.Host]
-			if k == nil || k.gone {
-				return nil, false
-			}
-			if w.Now < k.HangUntil { // executed when it resumes
-				w.After(k.HangUntil-w.Now, func() {
-					if !k.gone {
-						k.orders(e)
-					}
-				})
-				return nil, false
-			}
-			return k.orders(e), true
+			return w.command(e)
 		}, coordination.OrdersResult{ID: e.ID, Host: e.Host, Outcome: coordination.Lost})
 	case coordination.PeerCall:
 		life := n.life
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -38,12 +37,16 @@
 	w        *World
 	limits   config.State
 	keys     map[string]entry
+	names    []string // the keys in order; nil: they have changed
 	leases   map[int64]lease
 	revision int64
 	nextID   int64
 	puts     []time.Duration // within the last second
 	Down     bool
 	Cut      map[string]bool // nodes that get 503
+	// ListMost is how many entries an answer has at most: few, so that reading on is
+	// exercised.
+	ListMost int
 	// PageWrites counts transactions that wrote something.
 	PageWrites int
 	// RefusedForSize counts transactions that were over the limits after these were
@@ -55,7 +58,7 @@
 }
 
 func newState(w *World, limits config.State) *State {
-	return &State{w: w, limits: limits, keys: map[string]entry{}, leases: map[int64]lease{}, Cut: map[string]bool{}}
+	return &State{w: w, limits: limits, keys: map[string]entry{}, leases: map[int64]lease{}, Cut: map[string]bool{}, ListMost: 3}
 }
 
 // sizeInJSON is how limits count: what is on the wire, written as JSON.
@@ -94,6 +97,7 @@
 	for _, key := range slices.Sorted(maps.Keys(values)) {
 		s.revision++
 		s.keys[key] = entry{value: values[key], version: s.revision}
+		s.names = nil
 	}
 }
 
@@ -111,6 +115,7 @@
 		if e.lease == id {
 			s.revision++
 			delete(s.keys, k)
+			s.names = nil
 		}
 	}
 }
@@ -171,19 +176,7 @@
 		}
 		r.Entry = protocol.Entry{Key: c.Key, Value: e.value, Version: e.version, Lease: e.lease}
 	case storage.StateList:
-		var names []string
-		for k := range s.keys {
-			if strings.HasPrefix(k, c.Key) && k > c.After {
-				names = append(names, k)
-			}
-		}
-		sort.Strings(names)
-		if len(names) > 3 { // small answers, so that reading on is exercised
-			names, r.List.More = names[:3], true
-		}
-		for _, k := range names {
-			r.List.Entries = append(r.List.Entries, protocol.Entry{Key: k, Value: s.keys[k].value, Version: s.keys[k].version})
-		}
+		r.List.Entries, r.List.More = s.list(c.Key, c.After)
 		r.List.Revision = s.revision
 	case storage.StateTxn:
 		return s.txn(from, old, c)
@@ -191,6 +184,32 @@
 	return r
 }
 
+// list gives the entries behind a key that have a prefix, and tells whether there are more.
+func (s *State) list(prefix, after string) (entries []protocol.Entry, more bool) {
+	if s.names == nil {
+		s.names = slices.Sorted(maps.Keys(s.keys))
+	}
+	from, _ := slices.BinarySearch(s.names, max(prefix, after))
+	size := 0
+	for _, k := range s.names[from:] {
+		if !strings.HasPrefix(k, prefix) {
+			break
+		}
+		if k == after {
+			continue
+		}
+		e := s.keys[k]
+		if size += len(k) + len(e.value); len(entries) == s.ListMost || size > listBytes && len(entries) > 0 {
+			return entries, true
+		}
+		entries = append(entries, protocol.Entry{Key: k, Value: e.value, Version: e.version})
+	}
+	return entries, false
+}
+
+// listBytes is what the entries of an answer take at most.
+const listBytes = 512 << 10
+
 func (s *State) txn(from string, old bool, c storage.StateCall) storage.StateResult {
 	r := storage.StateResult{ID: c.ID}
 	if why := s.tooLarge(c.Txn); why != "" {
@@ -242,6 +261,9 @@
 		s.PageWrites++
 	}
 	for _, ch := range c.Txn.Then {
+		if _, ok := s.keys[ch.Put]; !ok {
+			s.names = nil
+		}
 		s.keys[ch.Put] = entry{protocol.Encode(ch.Value), s.revision, ch.Lease, from}
 	}
 	r.Number = s.revision
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -34,6 +34,9 @@
 	Saved     map[int]time.Duration
 	DoneTasks map[int]bool
 
+	// SubmittedAt is when it was first handed in, AcceptedAt when its user was told.
+	SubmittedAt, AcceptedAt time.Duration
+
 	Began     bool // a task was on a machine
 	Refused   int  // its submission was refused for good, with this status
 	Accepted  bool
@@ -50,7 +53,7 @@
 
 // Submit hands a job in, and again until it is accepted, as users do.
 func (w *World) Submit(s protocol.Submission, run time.Duration) *Job {
-	j := &Job{Sub: s, Run: run, Saved: map[int]time.Duration{}, DoneTasks: map[int]bool{}}
+	j := &Job{Sub: s, Run: run, Saved: map[int]time.Duration{}, DoneTasks: map[int]bool{}, SubmittedAt: w.Now}
 	w.pipelines = w.pipelines || len(s.Prerequisites) > 0
 	w.Jobs[s.ID] = j
 	w.jobNames = append(w.jobNames, s.ID)
@@ -63,7 +66,9 @@
 	w.ask(coordination.UserCall{Kind: coordination.Submit, Job: s.ID, Submit: &s}, func(r coordination.Reply, ok bool) {
 		switch {
 		case ok && (r.Status == 200 || r.Status == 201):
-			j.Accepted = true
+			if !j.Accepted {
+				j.Accepted, j.AcceptedAt = true, w.Now
+			}
 			w.told(j, r, asked)
 		case ok && (r.Status == 400 || r.Status == 422):
 			if j.Accepted {
@@ -71,7 +76,7 @@
 			}
 			j.Refused = r.Status
 		default:
-			w.After(time.Second, func() { w.submit(j) })
+			w.After(max(time.Second, time.Duration(r.RetryAfter)*time.Second), func() { w.submit(j) })
 		}
 	})
 }
@@ -81,8 +86,7 @@
 
 // ask sends a user's request to some node.
 func (w *World) ask(c coordination.UserCall, done func(coordination.Reply, bool)) {
-	w.seq++
-	w.askAt(w.Nodes[w.seq%len(w.Nodes)], c, done)
+	w.askAt(w.pick(), c, done)
 }
 
 func (w *World) askAt(n *Node, c coordination.UserCall, done func(coordination.Reply, bool)) {
@@ -104,8 +108,7 @@
 // PollAll asks about every job, and about one that nobody has submitted.
 func (w *World) PollAll() {
 	for _, id := range w.jobNames {
-		w.seq++
-		w.poll(w.Nodes[w.seq%len(w.Nodes)], w.Jobs[id])
+		w.Poll(w.Jobs[id])
 	}
 	w.ask(coordination.UserCall{Kind: coordination.Poll, Job: "wk-999999"}, func(r coordination.Reply, ok bool) {
 		if ok && r.Status == 200 {
@@ -175,8 +178,7 @@
 
 // CancelJob asks to cancel a job, again and again until that is answered.
 func (w *World) CancelJob(j *Job) {
-	w.seq++
-	w.cancelAt(w.Nodes[w.seq%len(w.Nodes)], j)
+	w.cancelAt(w.pick(), j)
 }
 
 func (w *World) cancelAt(n *Node, j *Job) {
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -46,11 +46,15 @@
 	wk := &Worker{w: w, m: m, mt: mt, session: 1, leaseFrom: w.Now, images: map[string]time.Duration{}, nextReport: w.Now}
 	w.Workers[m.Host] = wk
 	w.workerNames = append(w.workerNames, m.Host)
+	if w.Booted != nil {
+		w.Booted(m.Machine)
+	}
 	slices.Sort(w.workerNames)
 }
 
 func (k *Worker) vanish() {
 	k.gone = true
+	k.w.TasksDied += len(k.tasks)
 	k.loseTasks()
 }
 
@@ -144,6 +148,9 @@
 		k.images[t.job.Sub.Image] = t.ready
 		k.occupy(t)
 		w.checkStart(k, t)
+		if w.OnMachine != nil {
+			w.OnMachine(t.job, t.Task)
+		}
 		switch {
 		case k.Sick || t.job.Broken:
 			k.exit(t, protocol.Failed)
@@ -328,6 +335,9 @@
 		k.exit(t, protocol.Unknown)
 		return
 	}
+	if w.Started != nil {
+		w.Started(t.job, t.Task)
+	}
 	s := t.job.Sub
 	cpus, gpus, mem := s.CPUs, s.GPUs, s.MemoryGB
 	for _, x := range k.tasks {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -1,13 +1,11 @@
 package fake
 
 import (
-	"container/heap"
 	"slices"
 	"strconv"
 	"time"
 
 	"oakpick/internal/config"
-	"oakpick/internal/coordination"
 	"oakpick/internal/protocol"
 )
 
@@ -48,6 +46,13 @@
 
 	// KilledByLease counts tasks that workers ended because their lease had lapsed.
 	KilledByLease int
+	// TasksDied counts tasks that were on machines that died.
+	TasksDied int
+	// Started is told of every start that a worker executes, OnMachine of every task
+	// that has its image.
+	Started, OnMachine func(j *Job, task int)
+	// Booted is told of every machine that comes up.
+	Booted func(m protocol.Machine)
 
 	workerNames []string
 	jobNames    []string
@@ -55,6 +60,7 @@
 	use         map[string][2]float64 // processors and GPUs of tasks on machines, by team
 	cancelled   []*Job                // their users were told so, and tasks may still be on machines
 	queue       events
+	ticked      time.Duration // when everybody last looked at what time calls for
 	seq         int
 	seeds       uint64
 }
@@ -85,9 +91,7 @@
 // NewWorld makes a world with as many controllers as the settings say, which have just
 // started.
 func NewWorld(s config.Settings) *World {
-	w := &World{Cfg: &config.Config{Settings: s}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, use: map[string][2]float64{}}
-	w.State = newState(w, s.State)
-	w.Cloud = &Cloud{w: w, types: Types(), requests: map[string][]string{}, Most: 16}
+	w := newWorld(s, Types())
 	drifts := []float64{0, 0.0005, -0.0005}
 	for i := range s.Size {
 		w.Nodes = append(w.Nodes, &Node{w: w, Name: "n" + strconv.Itoa(i), Index: i, drift: drifts[i%len(drifts)]})
@@ -98,10 +102,18 @@
 	return w
 }
 
+// newWorld makes one without controllers.
+func newWorld(s config.Settings, types []protocol.MachineType) *World {
+	w := &World{Cfg: &config.Config{Settings: s}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, use: map[string][2]float64{}}
+	w.State = newState(w, s.State)
+	w.Cloud = &Cloud{w: w, types: types, requests: map[string][]string{}, Most: 16}
+	return w
+}
+
 // After plans something.
 func (w *World) After(d time.Duration, do func()) {
 	w.seq++
-	heap.Push(&w.queue, event{w.Now + d, w.seq, do})
+	w.queue.add(event{w.Now + d, w.seq, do})
 }
 
 const step = 50 * time.Millisecond
@@ -110,20 +122,8 @@
 func (w *World) Run(d time.Duration) {
 	end := w.Now + d
 	for w.Now < end {
-		next := w.Now + step
-		for len(w.queue) > 0 && w.queue[0].at <= next {
-			e := heap.Pop(&w.queue).(event)
-			w.Now = max(w.Now, e.at)
-			e.do()
-		}
-		w.Now = next
-		for _, name := range w.workerNames {
-			w.Workers[name].tick()
-		}
-		for _, n := range w.Nodes {
-			n.step(coordination.Tick{})
-		}
-		w.checkAlways()
+		w.happen(w.Now + step)
+		w.tick()
 	}
 }
 
