--- a/internal/fake/rules.go
+++ b/internal/fake/rules.go
@@ -9,6 +9,9 @@
 	"oakpick/internal/protocol"
 )
 
+// Fail notes that a rule was broken.
+func (w *World) Fail(rule, format string, args ...any) { w.fail(rule, format, args...) }
+
 func (w *World) fail(rule, format string, args ...any) {
 	if len(w.Broken) < 20 {
 		w.Broken = append(w.Broken, fmt.Sprintf("%8.2f %s: %s", w.Now.Seconds(), rule, fmt.Sprintf(format, args...)))
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -49,6 +49,8 @@
 	ListMost int
 	// PageWrites counts transactions that wrote something.
 	PageWrites int
+	// Puts counts the keys that were written.
+	Puts int
 	// RefusedForSize counts transactions that were over the limits after these were
 	// lowered.
 	RefusedForSize int
@@ -264,6 +266,7 @@
 		if _, ok := s.keys[ch.Put]; !ok {
 			s.names = nil
 		}
+		s.Puts++
 		s.keys[ch.Put] = entry{protocol.Encode(ch.Value), s.revision, ch.Lease, from}
 	}
 	r.Number = s.revision
@@ -305,3 +308,11 @@
 	}
 	return sizeInJSON(msgpack.RawMessage(e.value))
 }
+
+// Size is how many keys there are, and what their values take.
+func (s *State) Size() (keys, bytes int) {
+	for _, e := range s.keys {
+		bytes += len(e.value)
+	}
+	return len(s.keys), bytes
+}
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -110,6 +110,11 @@
 	for _, id := range w.jobNames {
 		w.Poll(w.Jobs[id])
 	}
+	w.PollUnknown()
+}
+
+// PollUnknown asks about a job that nobody has submitted.
+func (w *World) PollUnknown() {
 	w.ask(coordination.UserCall{Kind: coordination.Poll, Job: "wk-999999"}, func(r coordination.Reply, ok bool) {
 		if ok && r.Status == 200 {
 			w.fail("invented", "a job that nobody submitted")
--- /dev/null
+++ b/internal/scale/faults.go
@@ -0,0 +1,153 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// fault is a trouble: what it does, and for how long until it is undone.
+type fault struct {
+	begin func(*play) error
+	lasts time.Duration
+	end   func(*play) error
+}
+
+// How long and how far faults go.
+const (
+	restartDelay  = 5 * time.Second
+	outageLasts   = 20 * time.Second
+	cutShare      = 10 // one worker of so many
+	rackMachines  = 40
+	restartsADay  = 210
+	restartsWatch = time.Minute
+)
+
+var faults = map[string]fault{
+	"leader": {
+		begin: func(y *play) error {
+			y.restarted = y.controllers.leader()
+			if y.restarted < 0 {
+				return fmt.Errorf("nobody leads")
+			}
+			y.controllers.kill(y.restarted)
+			return nil
+		},
+		lasts: restartDelay,
+		end:   func(y *play) error { return y.controllers.start(y.restarted) },
+	},
+	"all-controllers": {
+		begin: func(y *play) error { y.controllers.killAll(); return nil },
+		lasts: restartDelay,
+		end: func(y *play) error {
+			for i := range y.p.Controllers {
+				if err := y.controllers.start(i); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	},
+	"state": {
+		begin: func(y *play) error { y.loop.wait(func() { y.world.State.Outage(true) }); return nil },
+		lasts: outageLasts,
+		end:   func(y *play) error { y.loop.wait(func() { y.world.State.Outage(false) }); return nil },
+	},
+	"cut": {
+		begin: func(y *play) error {
+			y.loop.wait(func() {
+				for i, name := range y.world.Names() {
+					if i%cutShare == 0 {
+						y.cut[name] = true
+					}
+				}
+			})
+			return nil
+		},
+		lasts: 0, // a lease and a half, see lasting
+		end:   func(y *play) error { y.loop.wait(func() { clear(y.cut) }); return nil },
+	},
+	"rack": {
+		begin: func(y *play) error {
+			y.loop.wait(func() {
+				names := y.world.Names()
+				for _, name := range names[:min(rackMachines, len(names)/2)] {
+					y.world.Cloud.Die(name)
+				}
+			})
+			return nil
+		},
+		end: func(*play) error { return nil },
+	},
+	// As many restarts in a minute as a bad hour has if it has all that a day has.
+	"restarts": {
+		begin: func(y *play) error {
+			y.loop.wait(func() {
+				apart := time.Hour / restartsADay
+				for at := apart / 2; at < restartsWatch; at += apart {
+					y.world.After(at, func() {
+						if names := y.world.Names(); len(names) > 0 {
+							y.world.Cloud.Die(names[y.workload.rng.IntN(len(names))])
+						}
+					})
+				}
+			})
+			return nil
+		},
+		lasts: restartsWatch,
+		end:   func(*play) error { return nil },
+	},
+}
+
+// lasting is how long a fault lasts with these settings.
+func (y *play) lasting(name string) time.Duration {
+	if name == "cut" {
+		return time.Duration(1.5 * y.p.LeaseS * float64(time.Second))
+	}
+	return faults[name].lasts
+}
+
+// faults injects the faults one after the other.
+func (y *play) faults(ctx context.Context, report *Report) error {
+	for _, name := range y.p.Faults {
+		r, err := y.fault(ctx, name)
+		if err != nil {
+			return err
+		}
+		report.Faults = append(report.Faults, *r)
+		y.say("fault %s: %.1f s without answers, %.1f s without starts, %d tasks killed by lease, %d died, %d rules broken",
+			name, r.WithoutAnswers, r.WithoutStarts, r.KilledByLease, r.TasksDied, r.Broken)
+	}
+	return nil
+}
+
+func (y *play) fault(ctx context.Context, name string) (*FaultReport, error) {
+	f := faults[name]
+	var killed, died, broken int
+	y.loop.wait(func() {
+		y.meter.forget()
+		y.times.watch(y.world.Now)
+		killed, died, broken = y.world.KilledByLease, y.world.TasksDied, len(y.world.Broken)
+	})
+	if err := f.begin(y); err != nil {
+		return nil, fmt.Errorf("fault %s: %w", name, err)
+	}
+	if err := y.sleep(ctx, "fault "+name, y.lasting(name)); err != nil {
+		return nil, err
+	}
+	if err := f.end(y); err != nil {
+		return nil, fmt.Errorf("the end of fault %s: %w", name, err)
+	}
+	if err := y.sleep(ctx, "after fault "+name, y.p.Recover); err != nil {
+		return nil, err
+	}
+	r := &FaultReport{Fault: name, Urgent: y.meter.latencies()["urgent start received"]}
+	y.loop.wait(func() {
+		answers, starts := y.times.seen(y.world.Now)
+		r.WithoutAnswers, r.WithoutStarts = answers.Seconds(), starts.Seconds()
+		r.KilledByLease = y.world.KilledByLease - killed
+		r.TasksDied = y.world.TasksDied - died
+		r.Broken = len(y.world.Broken) - broken
+	})
+	return r, nil
+}
