A plan looks at each machine once a job, not once a task

Cause: of a processor profile of a story at 2,400 machines most was plan(): for every task that waits every machine was looked at, its price and zone worked out anew. Change: the bins that a job may use are found and ordered once; the best is taken until it is full. BenchmarkPeak is new: 2,400 machines, 26,000 tasks, 980 starts a second.

--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -3,68 +3,15 @@
 import (
 	"math"
 	"slices"
-	"time"
 
 	"oakpick/internal/config"
 	"oakpick/internal/protocol"
 )
 
-// bin is a machine, or one to be rented, in the plan.
-type bin struct {
-	h     *host
-	offer offer
-	room  need
-	ready time.Duration // until it is up
-	late  bool          // it should have been up by now
-	used  bool
-}
-
-// sooner tells whether a task that would wait for a booting machine is better
-// served by a new one of another kind, which is up before it and costs no more
-// for each task.
-func (e *engine) sooner(j *job, b *bin, o offer) bool {
-	mt := e.fleet.kind(o.kind)
-	if b.ready == 0 || mt == nil || o.kind == b.offer.kind {
-		return false
-	}
-	return config.Seconds(mt.BootS) < b.ready && e.perTask(j, o) <= e.perTask(j, b.offer)
-}
-
-// packing is a plan being made: what waits, and the room to be kept, are packed into
-// what is free, coming, and has to be rented.
-type packing struct {
-	e        *engine
-	bins     []*bin
-	existing int // so many of them are there, or asked for already
-	// Room only shrinks here: where there was none for one task, there is none for
-	// the next of its shape.
-	from map[packed]int
-	warm bool // room to be kept is being packed, not what waits
-}
-
-// lateBoot is after how many times its type's boot time replicas that wait no longer
-// count on a machine that isn't up.
-const lateBoot = 1.1
-
-// lostRoom is for how many times as many replicas room is rented if they were lost while
-// they ran: of several machines one is up sooner than any one of them, and the rest are
-// returned.
-const lostRoom = 2
-
-// waits tells whether what is being packed are replicas that users miss.
-func (p *packing) waits(j *job) bool { return !p.warm && j.Shape == protocol.Service }
-
-// packed is what tells tasks apart that may go into the same bins.
-type packed struct {
-	shape
-	spotOnly, warm, service bool
-}
-
 // plan packs what waits, and the room to be kept, into what is free, coming,
 // and has to be rented. It gives the machines that the plan needs.
 func (e *engine) plan() map[*host]bool {
-	p := &packing{e: e, bins: e.presentBins(), from: map[packed]int{}}
-	p.existing = len(p.bins)
+	p := newPacking(e, e.presentBins())
 	for _, w := range e.fleet.unplaced {
 		if !w.job.over && !w.job.Cancelled {
 			tasks := min(w.tasks, w.job.idle())
@@ -126,47 +73,6 @@
 	return bins
 }
 
-// add packs so many tasks of a job, and adds bins of machines to be rented for those
-// that find no room.
-func (p *packing) add(j *job, tasks int, use map[string]int, spotOnly bool) {
-	for tasks > 0 {
-		b := p.binFor(j, tasks, use, spotOnly)
-		if b == nil {
-			return
-		}
-		// The bin that was best for one task is so for the next, until it is full.
-		count := 1
-		if !j.Spread {
-			count = j.need.count(b.room, tasks)
-		}
-		b.room = b.room.minus(j.need.times(float64(count)))
-		b.used = true
-		use[b.offer.zone] += count
-		tasks -= count
-	}
-}
-
-// binFor is the bin for the next of so many tasks, a new one if need be.
-func (p *packing) binFor(j *job, tasks int, use map[string]int, spotOnly bool) *bin {
-	e := p.e
-	k := packed{j.shape(), spotOnly, p.warm, j.Shape == protocol.Service}
-	o, ok := e.cheapest(j, use, tasks, spotOnly)
-	// A bin that a new machine would be up before is passed over, and the others aren't:
-	// what is rented instead is among them in the next plan.
-	passOver := func(b *bin) bool { return ok && (e.sooner(j, b, o) || b.late && p.waits(j)) }
-	b := e.pack(p.bins[p.from[k]:], j, use, spotOnly, passOver)
-	if b == nil && !j.Spread && !j.OneZone {
-		p.from[k] = len(p.bins)
-	}
-	if b != nil || !ok {
-		return b
-	}
-	mt := e.fleet.kind(o.kind)
-	b = &bin{offer: o, ready: config.Seconds(mt.BootS), room: size(mt)}
-	p.bins = append(p.bins, b)
-	return b
-}
-
 // rentAll asks for machines, and tells whether ordinary ones are among them. What is
 // asked for is in the next plan already, so several requests for one offer are no more
 // machines, only sooner. Each offer has its turn.
@@ -227,27 +133,6 @@
 	return int(math.Round(warm * math.Sqrt(expected) * c.tasks))
 }
 
-// pack finds the bin for a task: the fullest of those in use, else the empty one
-// that costs least for each such task, so that the dear ones stay unneeded.
-func (e *engine) pack(bins []*bin, j *job, use map[string]int, spotOnly bool, passOver func(*bin) bool) *bin {
-	var best *bin
-	bestKey := math.Inf(1)
-	for _, b := range bins {
-		e.n.Stats.HostsSeen++
-		if !j.need.fits(b.room) || spotOnly && !b.offer.spot || !j.allowed(b.offer.kind, b.offer.zone, b.offer.spot) || !j.zoneOK(b.offer.zone, use) || passOver(b) {
-			continue
-		}
-		key := b.room.gpus + b.room.cpus/1000
-		if !b.used && (b.h == nil || len(b.h.tasks) == 0) {
-			key = 1e6 * (1 + e.perTask(j, b.offer))
-		}
-		if key < bestKey {
-			best, bestKey = b, key
-		}
-	}
-	return best
-}
-
 // perTask is the hourly price of an offer for each such task that it holds.
 func (e *engine) perTask(j *job, o offer) float64 {
 	return e.fleet.price(o) / float64(max(1, j.need.count(size(e.fleet.kind(o.kind)), 1<<20)))
--- a/internal/coordination/scale_test.go
+++ b/internal/coordination/scale_test.go
@@ -150,3 +150,59 @@
 		})
 	}
 }
+
+// peak is a fleet at the users' next size: so many machines, half of them with replicas,
+// and arrays that make so many starts a second with so many tasks running.
+type peak struct {
+	w     *fake.World
+	n     *fake.Node
+	rate  float64 // arrays a second
+	tasks int     // each
+	run   time.Duration
+	due   float64
+	next  int
+}
+
+func peakOf(t testing.TB, machines, running int, starts float64) *peak {
+	t.Helper()
+	w, n := fleetOf(t, machines)
+	p := &peak{w: w, n: n, rate: 3.2, next: 10_000}
+	p.tasks = int(starts / p.rate)
+	p.run = time.Duration(float64(running) / starts * float64(time.Second))
+	p.pass(time.Duration(float64(p.run) * 1.2))
+	return p
+}
+
+// pass lets time pass, with arrays submitted as it does.
+func (p *peak) pass(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for ; d > 0; d -= step {
+		for p.due += p.rate * step.Seconds(); p.due >= 1; p.due-- {
+			p.next++
+			s := job(p.next, protocol.Array, p.tasks)
+			s.Team, s.CPUs, s.MemoryGB, s.ImageGB, s.SaveEach = "red", 0.05, 0.1, 0.1, 0
+			p.w.Submit(s, p.run)
+		}
+		p.w.Run(step)
+	}
+}
+
+// BenchmarkPeak times a second at the next size. The stand-ins of everything outside are in
+// the figure; the profile tells them apart.
+func BenchmarkPeak(b *testing.B) {
+	for _, size := range []struct {
+		machines, running int
+		starts            float64
+	}{{600, 6500, 245}, {2400, 26000, 980}} {
+		b.Run(fmt.Sprintf("%d machines %d tasks %.0f starts", size.machines, size.running, size.starts), func(b *testing.B) {
+			p := peakOf(b, size.machines, size.running, size.starts)
+			b.ResetTimer()
+			began := p.n.Stats().Starts
+			for range b.N {
+				p.pass(time.Second)
+			}
+			b.ReportMetric(float64(p.n.Stats().Starts-began)/float64(b.N), "starts/op")
+			check(b, p.w)
+		})
+	}
+}
