Idle and ending tasks of a job are counted, not looked for in every pass

Cause: after the plan, queue() took 59% of the profile: every pass asked of every task of every job whether it is done and whether it stops. Change: the counts are kept as tasks start, end and stop; every story and the model test compare them with the tasks (CheckCounts).

--- a/internal/coordination/helpers_test.go
+++ b/internal/coordination/helpers_test.go
@@ -91,6 +91,13 @@
 		tail := w.Log[max(0, len(w.Log)-60):]
 		t.Fatalf("rules broken:\n%s\nlog:\n%s", strings.Join(w.Broken, "\n"), strings.Join(tail, "\n"))
 	}
+	for _, n := range w.Nodes {
+		if node := n.Coordination(); node != nil {
+			if err := node.CheckCounts(); err != nil {
+				t.Fatalf("%s: %v", n.Name, err)
+			}
+		}
+	}
 }
 
 // served fails unless every job that was accepted and not cancelled is served.
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -18,7 +18,10 @@
 	blocks map[int]*block
 	tasks  map[int]*task // active ones
 	done   int
-	within bool // its team's guarantee, as of the last pass
+	// unfinished counts the active tasks that aren't done, stopping those that are told to
+	// stop: a pass asks for both of every job, and must not look at every task for that.
+	unfinished, stopping int
+	within               bool // its team's guarantee, as of the last pass
 
 	prerequisites []string // jobs that have to be done first, as its user named them
 	parts         []*prerequisitesPart
@@ -174,13 +177,7 @@
 	if j.Cancelled || j.over {
 		return 0
 	}
-	n := j.Tasks - j.done
-	for _, t := range j.tasks {
-		if !j.isDone(t.index) {
-			n--
-		}
-	}
-	return n
+	return j.Tasks - j.done - j.unfinished
 }
 
 // nextIdle finds a task that waits and whose start can be recorded, and keeps it out
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -246,6 +246,9 @@
 		}
 		b.starts = append(b.starts, t)
 		j.tasks[t.index] = t
+		if !j.isDone(t.index) {
+			j.unfinished++
+		}
 		h.tasks = append(h.tasks, t)
 		h.used = h.used.plus(j.need)
 		h.session = max(h.session, s.Session)
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -21,11 +21,7 @@
 			continue
 		}
 		if j.Shape != protocol.Service {
-			for _, t := range j.tasks {
-				if !t.stopping {
-					j.team.ends = j.team.ends.plus(j.need)
-				}
-			}
+			j.team.ends = j.team.ends.plus(j.need.times(float64(len(j.tasks) - j.stopping)))
 			j.team.endsWait = j.team.endsWait.plus(j.need.times(float64(j.idle())))
 		}
 		if j.Cancelled || j.over {
--- a/internal/coordination/task.go
+++ b/internal/coordination/task.go
@@ -65,6 +65,7 @@
 	t := &task{job: j, block: b, index: index, try: try, host: h, session: h.session, placedAt: e.n.now.Mono, ranSince: -1}
 	b.starts = append(b.starts, t)
 	j.tasks[index] = t
+	j.unfinished++
 	h.tasks = append(h.tasks, t)
 	h.used = h.used.plus(j.need)
 	h.emptySince = 0
@@ -102,11 +103,13 @@
 	t.host.tasks = slices.DeleteFunc(t.host.tasks, func(x *task) bool { return x == t })
 	t.host.used = t.host.used.minus(j.need)
 	if t.stopping {
+		j.stopping--
 		t.host.leaving = t.host.leaving.minus(j.need)
 		j.team.leaving = j.team.leaving.minus(j.need)
 	}
 	j.team.used = j.team.used.minus(j.need)
 	if !j.isDone(t.index) {
+		j.unfinished--
 		j.requeue = append(j.requeue, t.index)
 		j.idleSince = e.n.now.Mono
 	}
@@ -197,6 +200,9 @@
 	}
 	b.done.Set(index % j.blockTasks)
 	j.done++
+	if j.tasks[index] != nil {
+		j.unfinished--
+	}
 	now := e.n.now.Mono
 	e.store.Touch(now, b, nil)
 	for i := range j.blockLen(bn) {
@@ -294,6 +300,7 @@
 		return
 	}
 	if !t.stopping {
+		t.job.stopping++
 		t.host.leaving = t.host.leaving.plus(t.job.need)
 		t.job.team.leaving = t.job.team.leaving.plus(t.job.need)
 	}
--- a/internal/fake/node.go
+++ b/internal/fake/node.go
@@ -231,3 +231,6 @@
 
 // Tick lets the node look at what time calls for.
 func (n *Node) Tick() { n.step(coordination.Tick{}) }
+
+// Coordination is what decides in the node's process; nil while it doesn't run.
+func (n *Node) Coordination() *coordination.Node { return n.node }
