--- a/internal/config/budget.go
+++ b/internal/config/budget.go
@@ -4,9 +4,11 @@
 
 // Connections that a process needs beside those of users and workers, at most.
 const (
-	// StateCalls and StateRenewals are the connections to the state service.
+	// StateCalls and StateRenewals are connections to the state service.
 	StateCalls    = 6
 	StateRenewals = 4
+	// StateLookups are those for looking up ended jobs in the archive.
+	StateLookups = 1
 	// CloudCalls are those to the cloud.
 	CloudCalls = 6
 	perPeer    = 4 // both ways, while one replaces another
@@ -35,7 +37,7 @@
 }
 
 func (s *Settings) ownSockets() int {
-	return StateCalls + StateRenewals + CloudCalls + perPeer*(s.Size-1) + spare
+	return StateCalls + StateRenewals + StateLookups + CloudCalls + perPeer*(s.Size-1) + spare
 }
 
 // CommandsNow is how many connections direct commands may take while the front
--- /dev/null
+++ b/internal/coordination/archive_test.go
@@ -0,0 +1,464 @@
+package coordination_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"oakpick/internal/config"
+	"oakpick/internal/coordination"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
+)
+
+// littleMemory are settings with which a leader keeps 32 ended jobs in memory, and four pages
+// of the archive.
+func littleMemory() config.Settings {
+	s := fake.Settings()
+	s.Limits.MemMB = 0.5
+	s.Teams[1].CPUs = 1000
+	return s
+}
+
+const keptWithLittleMemory = 32
+
+// placesOf tells for each ended job whether it is on a page that a take-over reads, and
+// whether it is in the archive.
+func placesOf(t *testing.T, w *fake.World) (pages, archive map[string]storage.FinalRecord) {
+	t.Helper()
+	pages, archive = map[string]storage.FinalRecord{}, map[string]storage.FinalRecord{}
+	for key, value := range w.State.Values() {
+		switch {
+		case strings.HasPrefix(key, storage.Prefix):
+			var v storage.PageValue
+			if err := protocol.Decode(value, &v); err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range v.Finals {
+				pages[r.ID] = r
+			}
+		case strings.HasPrefix(key, storage.ArchivePrefix):
+			page, err := storage.ReadArchivePage(protocol.Entry{Key: key, Value: value})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range page.Finals {
+				if _, twice := archive[r.ID]; twice {
+					t.Fatalf("%s is on two pages of the archive", r.ID)
+				}
+				archive[r.ID] = r
+			}
+		}
+	}
+	return pages, archive
+}
+
+// noneVanishes fails if a job that was called done or cancelled is nowhere on record as such.
+func noneVanishes(t *testing.T, w *fake.World, jobs []*fake.Job) {
+	t.Helper()
+	pages, archive := placesOf(t, w)
+	unfinished, _ := recordedJobs(t, pagesOf(w))
+	for _, j := range jobs {
+		if j.Told != protocol.StatusDone {
+			continue
+		}
+		_, onPage := pages[j.Sub.ID]
+		_, inArchive := archive[j.Sub.ID]
+		if _, open := unfinished[j.Sub.ID]; !onPage && !inArchive && !open {
+			t.Fatalf("%v: %s is nowhere on record", w.Now, j.Sub.ID)
+		}
+	}
+}
+
+// endsJobs has so many small jobs come to their end.
+func endsJobs(t *testing.T, w *fake.World, first, count int) []*fake.Job {
+	t.Helper()
+	var jobs []*fake.Job
+	for n := range count {
+		s := job(first+n*7919%100_000, protocol.Array, 1) // in no order
+		s.CPUs, s.MemoryGB, s.ImageGB = 0.05, 0.05, 0.01
+		jobs = append(jobs, w.Submit(s, 500*time.Millisecond))
+	}
+	done := func(j *fake.Job) bool { return j.Told == protocol.StatusDone }
+	for tries := 0; tries < 60 && !all(jobs, done); tries++ {
+		pollFor(w, 2*time.Second)
+	}
+	if !all(jobs, done) {
+		t.Fatal("not all jobs are done")
+	}
+	return jobs
+}
+
+// archived lets time pass until no more ended jobs are to be moved.
+func archived(t *testing.T, w *fake.World, jobs []*fake.Job) {
+	t.Helper()
+	for range 600 {
+		w.Run(50 * time.Millisecond)
+		noneVanishes(t, w, jobs)
+		if pages, _ := placesOf(t, w); len(pages) <= keptWithLittleMemory {
+			return
+		}
+	}
+	pages, archive := placesOf(t, w)
+	t.Fatalf("%d ended jobs are on pages, %d in the archive\n%s", len(pages), len(archive), strings.Join(w.Log[max(0, len(w.Log)-20):], "\n"))
+}
+
+// withArchive makes a world in which most of so many ended jobs are in the archive.
+func withArchive(t *testing.T, count int) (*fake.World, []*fake.Job) {
+	t.Helper()
+	w := worldOf(t, littleMemory())
+	spare(t, w)
+	jobs := endsJobs(t, w, 100_000, count)
+	archived(t, w, jobs)
+	return w, jobs
+}
+
+// askedAll fails unless every job is called done by every node, when it is asked about, handed
+// in again or cancelled.
+func askedAll(t *testing.T, w *fake.World, jobs []*fake.Job) {
+	t.Helper()
+	for _, j := range jobs {
+		before := j.AnsweredAt
+		for tries := 0; tries < 20 && j.AnsweredAt == before; tries++ {
+			w.CloseLook(j)
+			w.Run(100 * time.Millisecond)
+		}
+		if j.AnsweredAt == before {
+			t.Fatalf("nobody is told about %s", j.Sub.ID)
+		}
+	}
+	for _, j := range jobs[:min(5, len(jobs))] {
+		w.CancelEverywhere(j)
+	}
+	w.Run(3 * time.Second)
+	for _, j := range jobs {
+		if j.Told != protocol.StatusDone {
+			t.Fatalf("%s is called %q", j.Sub.ID, j.Told)
+		}
+	}
+	check(t, w)
+}
+
+// Ended jobs are moved to the archive, all that asks after them goes on as before, and a
+// successor reads few of them.
+func TestEndedJobsAreArchived(t *testing.T) {
+	w, jobs := withArchive(t, 300)
+	askedAll(t, w, jobs[:60])
+	w.PollUnknown()
+	for _, n := range w.Nodes {
+		n.Crash()
+	}
+	w.Run(12 * time.Second)
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	if !w.Until(10*time.Second, func() bool { return w.Leader() != nil }) {
+		t.Fatal("nobody leads")
+	}
+	w.Run(4 * time.Second)
+	askedAll(t, w, jobs[200:260])
+	pages, archive := placesOf(t, w)
+	if len(pages) > keptWithLittleMemory+8 || len(archive) < 250 {
+		t.Errorf("%d ended jobs are on pages, %d in the archive", len(pages), len(archive))
+	}
+	if keys := len(pagesOf(w)); keys > 6 {
+		t.Errorf("%d pages of records are left: emptied ones are to be dropped or used again", keys)
+	}
+	// What comes next is accepted and done, too.
+	askedAll(t, w, endsJobs(t, w, 900_000, 10))
+}
+
+// The leader ends before, inside and after a move, whose transaction is lost, carried out
+// late, or only not answered.
+func TestLeaderEndsInsideAMove(t *testing.T) {
+	for _, trouble := range []string{"none", "request lost", "late", "answer lost"} {
+		for _, after := range []int{0, 1, 2, 5} {
+			t.Run(fmt.Sprint(trouble, " at write ", after), func(t *testing.T) {
+				t.Parallel()
+				leaderEndsInsideAMove(t, trouble, after)
+			})
+		}
+	}
+}
+
+func leaderEndsInsideAMove(t *testing.T, trouble string, after int) {
+	w := worldOf(t, littleMemory())
+	spare(t, w)
+	w.HoldsWrites = true
+	jobs := endsJobs(t, w, 100_000, 60)
+	writes := 0
+	w.Network = func(kind, _, _ string) fake.Fate {
+		f := fake.Well()
+		if kind != "write" {
+			return f
+		}
+		writes++
+		if writes <= after {
+			return f
+		}
+		switch trouble {
+		case "request lost":
+			f.LoseRequest = true
+		case "late":
+			f.LoseRequest, f.Copy = true, 3*time.Second
+		case "answer lost":
+			f.LoseAnswer = true
+		}
+		return f
+	}
+	for range 20 {
+		w.Run(50 * time.Millisecond)
+		noneVanishes(t, w, jobs)
+	}
+	if l := w.Leader(); l != nil {
+		l.Crash()
+		w.After(3*time.Second, l.Start)
+	}
+	w.Network = nil
+	for range 100 {
+		w.Run(50 * time.Millisecond)
+		noneVanishes(t, w, jobs)
+	}
+	askedAll(t, w, jobs)
+	archived(t, w, jobs)
+	askedAll(t, w, jobs)
+}
+
+// A repeat of a submission comes to all nodes in the very moments in which its job is moved.
+func TestRepeatedSubmissionsMeetTheMove(t *testing.T) {
+	w := worldOf(t, littleMemory())
+	spare(t, w)
+	jobs := endsJobs(t, w, 100_000, 80)
+	for n := range 120 {
+		for _, j := range jobs[n%8 : min(len(jobs), n%8+20)] {
+			w.CloseLook(j)
+		}
+		w.Run(50 * time.Millisecond)
+		noneVanishes(t, w, jobs)
+	}
+	archived(t, w, jobs)
+	askedAll(t, w, jobs)
+}
+
+// Thousands of polls for jobs that nobody submitted, beside real work: they get 404 or are
+// told to come back, never 200, and what others hand in is accepted and done in good time.
+func TestPollsForUnknownJobsKeepNobodyOut(t *testing.T) {
+	w, jobs := withArchive(t, 200)
+	statuses := map[int]int{}
+	for n := range 60 {
+		for i := range 50 {
+			id := fmt.Sprintf("wk-%06d", (n*50+i)*613%900_000)
+			if w.Jobs[id] != nil {
+				continue
+			}
+			w.Nodes[i%3].Ask(coordination.UserCall{Kind: coordination.Poll, Job: id}, func(r coordination.Reply) {
+				statuses[r.Status]++
+				if r.Status == 503 && r.RetryAfter == 0 {
+					t.Error("refused without a time to come back")
+				}
+			})
+		}
+		w.Run(50 * time.Millisecond)
+	}
+	began := w.Now
+	s := job(5, protocol.Array, 1)
+	s.CPUs = 0.1
+	other := w.Submit(s, time.Second)
+	for n := 0; n < 100 && !other.Accepted; n++ {
+		for i := range 50 {
+			id := fmt.Sprintf("wk-%06d", 910_000+n*50+i)
+			w.Nodes[i%3].Ask(coordination.UserCall{Kind: coordination.Poll, Job: id}, func(coordination.Reply) {})
+		}
+		w.Run(50 * time.Millisecond)
+	}
+	if took := other.AcceptedAt - began; !other.Accepted || took > time.Second {
+		t.Errorf("another's job was accepted after %v", took)
+	}
+	w.Run(5 * time.Second)
+	if statuses[200] > 0 || statuses[404] == 0 {
+		t.Errorf("answers %v", statuses)
+	}
+	askedAll(t, w, jobs[:20])
+}
+
+// Jobs that need archived ones: done ones let them start, cancelled ones cancel them, one
+// that nobody accepted is refused; a successor comes to the same.
+func TestPrerequisitesInTheArchive(t *testing.T) {
+	w := worldOf(t, littleMemory())
+	spare(t, w)
+	called := w.Submit(job(50, protocol.Array, 1), time.Hour)
+	runs(t, w, called.Sub.ID, 1)
+	w.CancelJob(called)
+	jobs := endsJobs(t, w, 100_000, 150)
+	archived(t, w, jobs)
+	endsJobs(t, w, 300_000, 40) // so that the cancelled one goes, too
+	w.Run(10 * time.Second)
+	_, archive := placesOf(t, w)
+	if _, ok := archive[called.Sub.ID]; !ok {
+		t.Fatal("the cancelled job is not in the archive")
+	}
+	after := accepted(t, w, job(60, protocol.Array, 1), time.Second, jobs[0], jobs[70], jobs[140])
+	with := accepted(t, w, job(61, protocol.Array, 1), time.Second, jobs[3], called)
+	s := job(62, protocol.Array, 1)
+	s.Prerequisites = []string{jobs[1].Sub.ID, "wk-777777"}
+	refused := w.Submit(s, time.Second)
+	w.Run(3 * time.Second)
+	w.Leader().Crash()
+	pollFor(w, 30*time.Second)
+	if after.Told != protocol.StatusDone || with.Told != protocol.StatusCancelled || refused.Refused != 422 {
+		t.Errorf("after done ones %q, with a cancelled one %q, with an unknown one %d", after.Told, with.Told, refused.Refused)
+	}
+	check(t, w)
+}
+
+// A job that waits names ended ones while these would be moved: they stay until it is over,
+// so that a successor finds what it names.
+func TestNamedJobsAreNotMoved(t *testing.T) {
+	w := worldOf(t, littleMemory())
+	spare(t, w)
+	named := endsJobs(t, w, 500_000, 1)[0]
+	running := w.Submit(job(50, protocol.Array, 1), 100*time.Second)
+	runs(t, w, running.Sub.ID, 1)
+	waits := accepted(t, w, job(51, protocol.Array, 1), time.Second, named, running)
+	jobs := endsJobs(t, w, 100_000, 100)
+	w.Run(10 * time.Second)
+	pages, _ := placesOf(t, w)
+	if _, ok := pages[named.Sub.ID]; !ok {
+		t.Error("a job that another names was moved")
+	}
+	w.Leader().Crash()
+	for range 20 {
+		pollFor(w, 8*time.Second)
+	}
+	if waits.Told != protocol.StatusDone {
+		t.Errorf("the job that waits is called %q", waits.Told)
+	}
+	noneVanishes(t, w, jobs)
+	check(t, w)
+}
+
+// Nothing is moved while a peer has not said that it reads the archive, nor for few ended
+// jobs.
+func TestNothingIsArchivedBeforeAllCanRead(t *testing.T) {
+	w := worldOf(t, littleMemory())
+	spare(t, w)
+	w.Nodes[2].Crash()
+	w.Nodes[2].Old = true
+	w.Nodes[2].Start()
+	endsJobs(t, w, 100_000, 100)
+	w.Run(20 * time.Second)
+	if _, archive := placesOf(t, w); len(archive) > 0 {
+		t.Error("moved beside a version that doesn't read the archive")
+	}
+	upgrade(w, w.Nodes[2], time.Second)
+	jobs := endsJobs(t, w, 200_000, 5)
+	archived(t, w, jobs)
+	check(t, w)
+
+	few := worldOf(t, littleMemory())
+	spare(t, few)
+	endsJobs(t, few, 100_000, keptWithLittleMemory-4)
+	few.Run(20 * time.Second)
+	if _, archive := placesOf(t, few); len(archive) > 0 {
+		t.Error("moved for few ended jobs")
+	}
+}
+
+// A page of the archive is damaged: its jobs get 503, all others are served and the leader
+// leads on.
+func TestDamagedArchivePage(t *testing.T) {
+	w, jobs := withArchive(t, 300)
+	var damaged string
+	lost := map[string]bool{}
+	for key, value := range w.State.Values() {
+		if strings.HasPrefix(key, storage.ArchivePrefix) && (damaged == "" || key < damaged) {
+			damaged = key
+			clear(lost)
+			page, err := storage.ReadArchivePage(protocol.Entry{Key: key, Value: value})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range page.Finals {
+				lost[r.ID] = true
+			}
+		}
+	}
+	w.State.Restore(map[string][]byte{damaged: protocol.Encode("not a page")})
+	w.Leader().Crash()
+	w.Run(15 * time.Second)
+	leader := w.Leader()
+	if leader == nil {
+		t.Fatal("nobody leads")
+	}
+	for _, j := range jobs {
+		status := 0
+		for tries := 0; tries < 10 && status != 200; tries++ {
+			leader.Ask(coordination.UserCall{Kind: coordination.Poll, Job: j.Sub.ID}, func(r coordination.Reply) { status = r.Status })
+			w.Run(50 * time.Millisecond)
+		}
+		if want := 200; lost[j.Sub.ID] && status != 503 || !lost[j.Sub.ID] && status != want {
+			t.Errorf("%s, lost %v: %d", j.Sub.ID, lost[j.Sub.ID], status)
+		}
+	}
+	if w.Leader() != leader {
+		t.Error("the leader has changed")
+	}
+	if text := strings.Join(w.Log, "\n"); !strings.Contains(text, damaged) {
+		t.Error("the log doesn't name the page")
+	}
+}
+
+// The state service refuses the leader alone while a lookup is out: nobody is told anything
+// that isn't so, and users come back to the next leader.
+func TestLookupWhileTheLeaderIsRefused(t *testing.T) {
+	w, jobs := withArchive(t, 200)
+	leader := w.Leader()
+	w.Network = func(kind, from, _ string) fake.Fate {
+		f := fake.Well()
+		if kind == "state" && from == leader.Name {
+			f.Answer = 800 * time.Millisecond // the lookup's answer comes after the end of the term
+		}
+		return f
+	}
+	for _, j := range jobs[:30] {
+		leader.Ask(coordination.UserCall{Kind: coordination.Poll, Job: j.Sub.ID}, func(r coordination.Reply) {
+			if r.Status == 404 {
+				t.Errorf("%s is called unknown", j.Sub.ID)
+			}
+		})
+	}
+	w.Run(100 * time.Millisecond)
+	w.State.Cut[leader.Name] = true
+	lookRepeatedly(w, jobs[:10], 20, 200*time.Millisecond)
+	w.Network = nil
+	w.State.Cut = map[string]bool{}
+	w.Run(15 * time.Second)
+	askedAll(t, w, jobs[:30])
+}
+
+// The limits are lowered between two moves: pages of the archive that are too large by then
+// are divided when something is added, and every job on them is still found.
+func TestArchivePagesAreDividedForLowerLimits(t *testing.T) {
+	s := littleMemory()
+	s.State.ValueKB = 4
+	s.State.TxnOps = 8
+	w := worldOf(t, s)
+	spare(t, w)
+	jobs := endsJobs(t, w, 100_000, 250)
+	archived(t, w, jobs)
+	w.Cfg.Settings.State.Next = nextLimits(2, 4, 40)
+	for _, n := range w.Nodes {
+		n.Crash()
+		n.Start()
+	}
+	w.Run(15 * time.Second)
+	half := endsJobs(t, w, 400_000, 40)
+	w.State.Lower()
+	more := endsJobs(t, w, 100_050, 80)
+	jobs = slices.Concat(jobs, half, more)
+	archived(t, w, jobs)
+	askedAll(t, w, append(jobs[:40], more[:40]...))
+}
--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -18,8 +18,9 @@
 	ledAt   time.Duration
 	store   *storage.Store
 	jobs    map[string]*job
-	order   []*job // by submission
-	finals  map[string]*final
+	order   []*job            // by submission
+	finals  map[string]*final // ended jobs that aren't in the archive
+	archive *archive
 	teams   map[string]*team
 	hosts   map[string]*host
 	byName  []*host
@@ -66,6 +67,7 @@
 		if len(e.asking) > 0 && (!e.n.certain() || e.stalled()) {
 			e.refuseAsking()
 		}
+		e.archive.tick()
 		e.flush()
 		e.sendOrders()
 	}
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -151,7 +151,10 @@
 }
 
 // final is a job that is over.
-type final struct{ storage.FinalRecord }
+type final struct {
+	storage.FinalRecord
+	rest bool // something else of the job may still be recorded
+}
 
 // Emit writes it.
 func (f *final) Emit(v *storage.PageValue) { v.Finals = append(v.Finals, f.FinalRecord) }
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -61,6 +61,7 @@
 		e.teams[t.Name] = &team{Team: t}
 	}
 	// What is written has to fit the limits to come as well: when they come isn't said.
+	e.archive = newArchive(e)
 	limits := s.State.Smallest()
 	e.store = storage.NewStore(storage.Limits{
 		PageBytes: storage.PageBytes(limits.ValueKB), ChangesPerTxn: limits.TxnOps, WritesPerS: limits.WriteRPS * e.opt.WriteShare,
@@ -81,7 +82,7 @@
 		e.loadOptions(p)
 	}
 	for _, r := range p.Value.Finals {
-		f := &final{r}
+		f := &final{FinalRecord: r}
 		e.finals[r.ID] = f
 		e.store.Load(p.Number, p.Version, f)
 	}
@@ -161,7 +162,9 @@
 			// different pages, so the leader may have ended between the two.
 			// Anything else is damage, which must not end the whole service:
 			// the job is lost, and what it has on machines is stopped.
-			if e.finals[r.Job] == nil {
+			if f := e.finals[r.Job]; f != nil {
+				f.rest = true
+			} else {
 				e.n.log(Error, "a block of an unknown job is dropped", "job", r.Job, "block", r.Block, "starts", len(r.Starts))
 			}
 			continue
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -60,6 +60,8 @@
 		ID     uint64
 		Term   int64
 		Leader string
+		// AsksArchive asks whether this node reads the archive of ended jobs.
+		AsksArchive bool
 	}
 	// CloudResult answers a CloudCall.
 	CloudResult struct {
@@ -156,6 +158,8 @@
 		Peer  string
 		Term  int64
 		Asked time.Duration // when
+		// AsksArchive asks whether the peer reads the archive of ended jobs.
+		AsksArchive bool
 	}
 	// Log is a line for the operator.
 	Log struct {
--- a/internal/coordination/prerequisites.go
+++ b/internal/coordination/prerequisites.go
@@ -71,12 +71,12 @@
 // refusedPrerequisite tells whether a submission names a job that it can't: the
 // status, and why; 0: none. Only a leader that is certain of its term and has read
 // every page is asked.
-func (e *engine) refusedPrerequisite(s *protocol.Submission) (status int, why string) {
+func (e *engine) refusedPrerequisite(s *protocol.Submission, archived ends) (status int, why string) {
 	for _, id := range s.Prerequisites {
 		if id == s.ID {
 			return 422, "a job can't need itself"
 		}
-		if e.finals[id] != nil {
+		if e.final(id, archived) != nil {
 			continue
 		}
 		p := e.jobs[id]
@@ -93,6 +93,21 @@
 	return 0, ""
 }
 
+// withoutArchived leaves out the prerequisites whose ends are in the archive, or on their
+// way there, so that a take-over needs no page of it: what is done stays done, and that one
+// of them is cancelled is recorded as the job's own cancellation.
+func (e *engine) withoutArchived(ids []string, archived ends) (rest []string, cancelled bool) {
+	for _, id := range ids {
+		f := e.final(id, archived)
+		if f == nil || e.finals[id] == f && !e.archive.moving[id] {
+			rest = append(rest, id)
+			continue
+		}
+		cancelled = cancelled || f.Cancelled
+	}
+	return rest, cancelled
+}
+
 // linkPrerequisites puts a job into the graph. It tells whether the job is cancelled
 // because one that it needs is, durably.
 func (e *engine) linkPrerequisites(j *job) (cancelled bool) {
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -28,11 +28,22 @@
 	sweep        time.Duration // between looks at all machines
 	passBackOff  time.Duration // for each job that waits in vain, between placement passes
 	blockTasks   int           // how many tasks a block of a new job has
+	endedKept    int           // ended jobs that a leader keeps in memory, before they are moved to the archive
+	archivePages int           // pages of the archive that a leader keeps in memory
 }
 
 // drift is more than twice what the steady clocks of two machines may differ by.
 const drift = 0.0011
 
+// Ended jobs may take a part of the memory, and so may pages of the archive, which take
+// several times in memory what they take as they are stored.
+const (
+	endedShare        = 64
+	endedBytes        = 256
+	archiveCacheShare = 512
+	archivePagesLeast = 4
+)
+
 // TermLease is how long the term's lease lasts: while it runs out after a leader
 // has ended, nobody can be served.
 func TermLease(w config.Workers) time.Duration {
@@ -63,6 +74,9 @@
 	// By the limits as they are, also if others are to come: earlier versions that
 	// run beside this one, and jobs that they accepted, have blocks of this length.
 	r.blockTasks = storage.BlockTasks(storage.PageBytes(cfg.Settings.State.ValueKB))
+	memory := cfg.Settings.Limits.MemMB * (1 << 20)
+	r.endedKept = int(memory / endedShare / endedBytes)
+	r.archivePages = max(archivePagesLeast, int(memory/archiveCacheShare/(cfg.Settings.State.ValueKB*1024)))
 	r.backOff = r.ttl * 2
 	r.passBackOff = r.sweep / 1000
 	r.healthFor = r.ttl * 6
--- a/internal/coordination/task.go
+++ b/internal/coordination/task.go
@@ -235,11 +235,11 @@
 // recordEnd puts a job's end in the place of its record. The end of a cancelled job can
 // wait: its users hear the same before it is durable, also from a successor.
 func (e *engine) recordEnd(j *job, w *storage.CommitWait) {
-	f := &final{storage.FinalRecord{ID: j.ID, Cancelled: j.Cancelled, Tasks: j.Tasks}}
+	f := &final{FinalRecord: storage.FinalRecord{ID: j.ID, Cancelled: j.Cancelled, Tasks: j.Tasks}}
 	ended := func() {
 		e.finals[f.ID] = f
 		delete(e.jobs, f.ID)
-		e.removeRest(j)
+		e.removeRest(j, f)
 		if !f.Cancelled {
 			e.prerequisiteDone(f.ID)
 		}
@@ -258,14 +258,20 @@
 
 // removeRest removes what is recorded of a job beside its end. It may go only once that is
 // durable: a successor that found the job without its blocks would start their tasks again.
-func (e *engine) removeRest(j *job) {
+func (e *engine) removeRest(j *job, f *final) {
+	var rest []storage.Item
 	for bn := 1; bn < j.blockCount(); bn++ {
 		if b := j.blocks[bn]; b != nil {
-			e.store.Remove(e.n.now.Mono, b, nil)
+			rest = append(rest, b)
 		}
 	}
 	for _, p := range j.parts {
-		e.store.Remove(e.n.now.Mono, p, nil)
+		rest = append(rest, p)
+	}
+	f.rest = len(rest) > 0
+	wait := storage.OnCommitLater(func() { f.rest = false })
+	for _, item := range rest {
+		e.store.Remove(e.n.now.Mono, item, wait)
 	}
 }
 
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -28,6 +28,8 @@
 	forRenew
 	forBarrier
 	forPages
+	forArchive
+	forArchivePage
 	forRaise
 	forRaiseCheck
 	forPageTxn
@@ -74,6 +76,7 @@
 type loader struct {
 	entries []protocol.Entry
 	barrier bool
+	pages   bool // all are read
 }
 
 func (n *Node) state(why purpose, c storage.StateCall) {
@@ -231,7 +234,7 @@
 		case NotFound:
 			n.stepDown("the term's lease has ended")
 		}
-	case forBarrier, forPages:
+	case forBarrier, forPages, forArchive:
 		n.loadResult(p.why, r)
 	case forRevoke: // without it the lease ends by itself a little later
 	default:
@@ -362,9 +365,15 @@
 			n.state(forBarrier, storage.StateCall{Op: storage.StateTxn, Txn: protocol.Txn{If: []protocol.Condition{{Key: LeaderKey, Version: t.own}}}})
 			return
 		}
+		if l.pages {
+			n.state(forArchive, storage.StateCall{Op: storage.StateList, Key: storage.ArchivePrefix, Most: 1})
+			return
+		}
 		n.state(forPages, storage.StateCall{Op: storage.StateList, Key: storage.Root, After: after})
 	}
 	switch {
+	case why == forArchive && r.Outcome == OK:
+		n.lead(l.entries, len(r.List.Entries) > 0)
 	case r.Outcome == Conflict:
 		n.stepDown("another took the term")
 	case r.Outcome != OK:
@@ -374,22 +383,26 @@
 		again()
 	default:
 		l.entries = append(l.entries, r.List.Entries...)
-		if r.List.More {
-			again()
-			return
-		}
-		t.loading = nil
-		e, err := newEngine(n, l.entries)
-		if err != nil {
-			n.log(Error, "cannot read the records", "error", err.Error())
-			n.stepDown("the records can't be read")
-			return
-		}
-		n.engine = e
-		t.led, t.ledAt = t.own, n.now.Mono
+		l.pages = !r.List.More
+		again()
 	}
 }
 
+// lead begins to lead with the records that were read.
+func (n *Node) lead(entries []protocol.Entry, archive bool) {
+	t := &n.term
+	t.loading = nil
+	e, err := newEngine(n, entries)
+	if err != nil {
+		n.log(Error, "cannot read the records", "error", err.Error())
+		n.stepDown("the records can't be read")
+		return
+	}
+	e.archive.exists = archive
+	n.engine = e
+	t.led, t.ledAt = t.own, n.now.Mono
+}
+
 // askedToStepDown answers a new leader: whatever term below its own this node held, it
 // no longer answers workers for it.
 func (n *Node) askedToStepDown(c StepDownCall) {
@@ -405,7 +418,7 @@
 		n.follow(c.Leader, c.Term)
 	}
 	n.emit(Reply{ID: c.ID, Status: 200, Body: protocol.Encode(protocol.StepDownAnswer{
-		SteppedDown: true, Led: t.led, UpMs: n.now.Mono.Milliseconds(),
+		SteppedDown: true, Led: t.led, UpMs: n.now.Mono.Milliseconds(), ReadsArchive: c.AsksArchive,
 	})})
 }
 
@@ -441,6 +454,9 @@
 	if _, ok := t.steppedDown[r.Peer]; !ok {
 		t.steppedDown[r.Peer] = n.now.Mono
 	}
+	if n.engine != nil && r.ReadsArchive {
+		n.engine.archive.readers[r.Peer] = true
+	}
 }
 
 // lapseBase is when every earlier leader had certainly stopped answering
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -10,15 +10,30 @@
 )
 
 func (e *engine) user(c UserCall) {
+	if c.Kind == Poll {
+		e.n.Stats.Polled++
+	}
+	e.archive.request(c)
+}
+
+// decide answers a request, given the ends of what it is about that are in the archive.
+func (e *engine) decide(c UserCall, archived ends) {
 	switch c.Kind {
 	case Submit:
-		e.submit(c)
+		e.submit(c, archived)
 	case Poll:
-		e.n.Stats.Polled++
-		e.poll(c)
+		e.poll(c, archived)
 	case Cancel:
-		e.cancel(c)
+		e.cancel(c, archived)
+	}
+}
+
+// final is the end of a job that is over.
+func (e *engine) final(id string, archived ends) *final {
+	if f := e.finals[id]; f != nil {
+		return f
 	}
+	return archived[id]
 }
 
 func (e *engine) reply(id uint64, status int, body []byte) {
@@ -64,9 +79,9 @@
 	e.reply(id, 200, protocol.Encode(a))
 }
 
-func (e *engine) submit(c UserCall) {
+func (e *engine) submit(c UserCall, archived ends) {
 	s := c.Submit
-	if f := e.finals[s.ID]; f != nil {
+	if f := e.final(s.ID, archived); f != nil {
 		e.answerFinal(c.ID, f, false)
 		return
 	}
@@ -95,9 +110,9 @@
 		e.reply(c.ID, 422, protocol.EncodeError(why))
 		return
 	}
-	switch status, why := e.refusedPrerequisite(s); status {
+	switch status, why := e.refusedPrerequisite(s, archived); status {
 	case 0:
-		e.accept(c)
+		e.accept(c, archived)
 	case 503:
 		e.n.refuse(c.ID, why)
 	default:
@@ -106,12 +121,13 @@
 }
 
 // accept takes a new job in. Its user is told once that is durable.
-func (e *engine) accept(c UserCall) {
+func (e *engine) accept(c UserCall, archived ends) {
 	e.n.Stats.Submitted++
 	j := e.newJob(storage.NewJobRecord(c.Submit, e.n.now.WallMs))
-	j.prerequisites = c.Submit.Prerequisites
+	var cancelled bool
+	j.prerequisites, cancelled = e.withoutArchived(c.Submit.Prerequisites, archived)
 	e.divide(j)
-	cancelled := e.linkPrerequisites(j)
+	cancelled = e.linkPrerequisites(j) || cancelled
 	switch {
 	case cancelled:
 		j.Cancelled, j.cancelledAt = true, e.n.now.Mono
@@ -192,8 +208,8 @@
 	return ""
 }
 
-func (e *engine) poll(c UserCall) {
-	if f := e.finals[c.Job]; f != nil {
+func (e *engine) poll(c UserCall, archived ends) {
+	if f := e.final(c.Job, archived); f != nil {
 		e.answerFinal(c.ID, f, true)
 	} else if j := e.jobs[c.Job]; j == nil {
 		e.reply(c.ID, 404, protocol.EncodeError("no such job"))
@@ -204,8 +220,8 @@
 	}
 }
 
-func (e *engine) cancel(c UserCall) {
-	if f := e.finals[c.Job]; f != nil {
+func (e *engine) cancel(c UserCall, archived ends) {
+	if f := e.final(c.Job, archived); f != nil {
 		e.answerFinal(c.ID, f, false)
 		return
 	}
--- a/internal/coordination/writes.go
+++ b/internal/coordination/writes.go
@@ -44,6 +44,8 @@
 			return
 		}
 		n.stepDown("a write met another leader's")
+	case forArchivePage:
+		e.archive.pageRead(r)
 	case forRaise, forRaiseCheck:
 		e.raiseResult(why, r)
 	}
@@ -52,16 +54,27 @@
 func (e *engine) flush() {
 	n := e.n
 	for e.raising == nil && n.certain() {
-		f := e.store.Next(n.now.Mono, protocol.Condition{Key: LeaderKey, Version: e.token}, !e.drain)
+		f := e.store.Next(n.now.Mono, e.termCondition(), !e.drain)
 		if f == nil {
 			return
 		}
-		n.Stats.Txns++
-		n.state(forPageTxn, storage.StateCall{Op: storage.StateTxn, Txn: f.Txn})
-		e.writes[n.nextID] = f
+		e.send(f)
 	}
 }
 
+// send sends a transaction.
+func (e *engine) send(w *storage.Write) {
+	n := e.n
+	n.Stats.Txns++
+	n.state(forPageTxn, storage.StateCall{Op: storage.StateTxn, Txn: w.Txn})
+	e.writes[n.nextID] = w
+}
+
+// termCondition is what every write is conditional on.
+func (e *engine) termCondition() protocol.Condition {
+	return protocol.Condition{Key: LeaderKey, Version: e.token}
+}
+
 func (e *engine) checkWrite(f *storage.Write) {
 	e.n.state(forPageCheck, storage.StateCall{Op: storage.StateGet, Key: f.Key()})
 	e.writes[e.n.nextID] = f
--- a/internal/fake/node.go
+++ b/internal/fake/node.go
@@ -208,7 +208,7 @@
 				continue
 			}
 			w.After(f.Request, func() {
-				p.deliver(coordination.StepDownCall{Term: e.Term, Leader: n.Name}, func(r coordination.Reply) {
+				p.deliver(coordination.StepDownCall{Term: e.Term, Leader: n.Name, AsksArchive: e.AsksArchive && !p.old}, func(r coordination.Reply) {
 					var a protocol.StepDownAnswer
 					if f.LoseAnswer || r.Status != 200 || protocol.Decode(r.Body, &a) != nil {
 						return
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -178,7 +178,7 @@
 		}
 		r.Entry = protocol.Entry{Key: c.Key, Value: e.value, Version: e.version, Lease: e.lease}
 	case storage.StateList:
-		r.List.Entries, r.List.More = s.list(c.Key, c.After)
+		r.List.Entries, r.List.More = s.list(c.Key, c.After, c.Most)
 		r.List.Revision = s.revision
 	case storage.StateTxn:
 		return s.txn(from, old, c)
@@ -187,11 +187,14 @@
 }
 
 // list gives the entries behind a key that have a prefix, and tells whether there are more.
-func (s *State) list(prefix, after string) (entries []protocol.Entry, more bool) {
+func (s *State) list(prefix, after string, most int) (entries []protocol.Entry, more bool) {
 	if s.names == nil {
 		s.names = slices.Sorted(maps.Keys(s.keys))
 	}
 	from, _ := slices.BinarySearch(s.names, max(prefix, after))
+	if most == 0 || most > s.ListMost {
+		most = s.ListMost
+	}
 	size := 0
 	for _, k := range s.names[from:] {
 		if !strings.HasPrefix(k, prefix) {
@@ -201,7 +204,7 @@
 			continue
 		}
 		e := s.keys[k]
-		if size += len(k) + len(e.value); len(entries) == s.ListMost || size > listBytes && len(entries) > 0 {
+		if size += len(k) + len(e.value); len(entries) == most || size > listBytes && len(entries) > 0 {
 			return entries, true
 		}
 		entries = append(entries, protocol.Entry{Key: k, Value: e.value, Version: e.version})
@@ -263,6 +266,11 @@
 		s.PageWrites++
 	}
 	for _, ch := range c.Txn.Then {
+		if ch.Drop != "" {
+			delete(s.keys, ch.Drop)
+			s.names = nil
+			continue
+		}
 		if _, ok := s.keys[ch.Put]; !ok {
 			s.names = nil
 		}
@@ -279,7 +287,7 @@
 		return fmt.Sprintf("a transaction of %d changes", len(txn.Then))
 	}
 	for _, change := range txn.Then {
-		if n := sizeInJSON(change.Value); n > int(s.limits.ValueKB*1024) {
+		if n := sizeInJSON(change.Value); change.Drop == "" && n > int(s.limits.ValueKB*1024) {
 			return fmt.Sprintf("a value of %d bytes", n)
 		}
 	}
@@ -292,7 +300,7 @@
 func (s *State) checkLimitsToCome(from string, txn protocol.Txn) {
 	next := s.limits.Smallest()
 	for _, change := range txn.Then {
-		if n := sizeInJSON(change.Value); n > int(next.ValueKB*1024) && n > s.storedSize(change.Put) {
+		if n := sizeInJSON(change.Value); change.Drop == "" && n > int(next.ValueKB*1024) && n > s.storedSize(change.Put) {
 			s.w.fail("state", "%s writes a value of %d bytes, above the limits to come", from, n)
 		}
 	}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -175,11 +175,12 @@
 	Version int64  `msgpack:"stamp"`
 }
 
-// Change writes a key.
+// Change writes a key, or drops one.
 type Change struct {
-	Put   string `msgpack:"write"`
-	Value any    `msgpack:"value"`
+	Put   string `msgpack:"write,omitempty"`
+	Value any    `msgpack:"value,omitempty"`
 	Lease int64  `msgpack:"permit,omitempty"`
+	Drop  string `msgpack:"drop,omitempty"`
 }
 
 // Txn is a transaction of the state service.
@@ -216,6 +217,8 @@
 type StepDown struct {
 	Term   int64  `msgpack:"term"`
 	Leader string `msgpack:"leader"`
+	// ReadsArchive asks whether the peer looks ended jobs up in the archive, too.
+	ReadsArchive bool `msgpack:"reads_archive,omitempty"`
 }
 
 // StepDownAnswer says whether the node has let go of every term below.
@@ -223,6 +226,8 @@
 	SteppedDown bool  `msgpack:"released"`
 	Led         int64 `msgpack:"taken"` // the last term of which this process has read the records; 0: none
 	UpMs        int64 `msgpack:"up_ms"` // for how long it has been running
+	// ReadsArchive answers the question of the same name; earlier versions never do.
+	ReadsArchive bool `msgpack:"reads_archive,omitempty"`
 }
 
 // SplitJobPath takes apart the path of a request about jobs: the job's id
--- a/internal/protocol/standin.go
+++ b/internal/protocol/standin.go
@@ -137,6 +137,7 @@
 			Put   string             `msgpack:"write"`
 			Value msgpack.RawMessage `msgpack:"value"`
 			Lease int64              `msgpack:"permit"`
+			Drop  string             `msgpack:"drop"`
 		} `msgpack:"then"`
 	}
 	if err := Decode(body, &w); err != nil {
@@ -144,10 +145,14 @@
 	}
 	txn := Txn{If: w.If}
 	for _, c := range w.Then {
-		if c.Put == "" {
-			return Txn{}, malformed("a change without a key")
+		switch {
+		case (c.Put == "") == (c.Drop == ""):
+			return Txn{}, malformed("a change of no key or of two")
+		case c.Drop != "":
+			txn.Then = append(txn.Then, Change{Drop: c.Drop})
+		default:
+			txn.Then = append(txn.Then, Change{Put: c.Put, Value: c.Value, Lease: c.Lease})
 		}
-		txn.Then = append(txn.Then, Change{Put: c.Put, Value: c.Value, Lease: c.Lease})
 	}
 	return txn, nil
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -202,7 +202,9 @@
 		return err
 	}
 	if y.p.Provoke {
-		y.loop.wait(func() { y.world.DuplicateStart() })
+		if err := y.provoke(ctx); err != nil {
+			return err
+		}
 	}
 	step, err := y.step(ctx, part)
 	if err == nil {
@@ -222,5 +224,21 @@
 	return err
 }
 
+// provoke has a task started twice, as soon as one runs.
+func (y *play) provoke(ctx context.Context) error {
+	const tries, apart = 60, 500 * time.Millisecond
+	for range tries {
+		started := false
+		y.loop.wait(func() { started = y.world.DuplicateStart() })
+		if started {
+			return nil
+		}
+		if err := y.sleep(ctx, "nothing runs yet", apart); err != nil {
+			return err
+		}
+	}
+	return errors.New("no task runs that could be started twice")
+}
+
 // forgottenAfter is for how long a question about an accepted job may go unanswered.
 const forgottenAfter = 75 * time.Second
--- a/internal/scale/servers.go
+++ b/internal/scale/servers.go
@@ -231,7 +231,9 @@
 	switch path {
 	case protocol.PathKV:
 		args := ctx.QueryArgs()
-		return storage.StateCall{Op: storage.StateList, Key: string(args.Peek("starts")), After: string(args.Peek("after"))}, true
+		return storage.StateCall{
+			Op: storage.StateList, Key: string(args.Peek("starts")), After: string(args.Peek("after")), Most: args.GetUintOrZero("limit"),
+		}, true
 	case protocol.PathTxn:
 		txn, err := protocol.DecodeTxn(ctx.PostBody())
 		return storage.StateCall{Op: storage.StateTxn, Txn: txn}, err == nil
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -1,8 +1,10 @@
 package storage
 
 import (
+	"cmp"
 	"errors"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -45,6 +47,7 @@
 	Op    StateOp
 	Key   string // of a read; a prefix for a list
 	After string // of a list
+	Most  int    // entries of a list; 0: as many as are usual
 	Lease int64  // of a renewal or a revocation
 	TTL   time.Duration
 	Txn   protocol.Txn
@@ -66,6 +69,9 @@
 	wait, renewWait time.Duration
 }
 
+// listEntries is how many entries a list asks for.
+const listEntries = 200
+
 // DialError marks a connection that was never made: nothing was sent on it.
 type DialError struct{ Err error }
 
@@ -96,7 +102,7 @@
 			MaxIdleConnDuration: 10 * wait,
 		}
 	}
-	return &Client{calls: host(config.StateCalls, wait/2), renewals: host(config.StateRenewals, renewWait/2), wait: wait, renewWait: renewWait}
+	return &Client{calls: host(config.StateCalls+config.StateLookups, wait/2), renewals: host(config.StateRenewals, renewWait/2), wait: wait, renewWait: renewWait}
 }
 
 // Do makes a call and waits for its outcome.
@@ -115,7 +121,7 @@
 		if call.After != "" {
 			args.Set("after", call.After)
 		}
-		args.Set("limit", "200")
+		args.Set("limit", strconv.Itoa(cmp.Or(call.Most, listEntries)))
 		uri += protocol.PathKV + "?" + args.String()
 		fasthttp.ReleaseArgs(args)
 	case StateTxn:
--- a/internal/storage/page.go
+++ b/internal/storage/page.go
@@ -68,6 +68,7 @@
 	reserved int // what its items are expected to grow to
 	dirty    bool
 	inFlight bool          // part of a transaction under way
+	dropped  bool          // by that transaction
 	since    time.Duration // it is dirty
 	due      time.Duration // pages are written in this order
 	waits    []*CommitWait
--- a/internal/storage/split.go
+++ b/internal/storage/split.go
@@ -56,6 +56,7 @@
 		}
 		p.items = slices.Delete(p.items, i, i+1)
 		p.reserved -= s.reserve(item)
+		s.indexRoom(p)
 		s.put(fresh, item)
 		if len(p.items) == 1 {
 			break
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -25,16 +25,27 @@
 	Oversize bool
 	// Refused tells that the state service called it malformed.
 	Refused bool
+	// Version is the revision that it was committed with.
+	Version int64
 
-	pages []*page
-	guard *page // compared, but not written
-	waits [][]*CommitWait
-	sent  bool
-	again time.Duration
+	pages   []*page
+	guard   *page          // compared, but not written
+	archive []*ArchivePage // written, too
+	waits   [][]*CommitWait
+	sent    bool
+	again   time.Duration
 }
 
 // Key names a page that tells, by the write's id, whether the write was committed.
-func (w *Write) Key() string { return w.pages[0].key() }
+func (w *Write) Key() string {
+	if len(w.archive) > 0 {
+		return w.archive[0].Key() // the other may be dropped
+	}
+	return w.pages[0].key()
+}
+
+// keys is how many the write changes.
+func (w *Write) keys() int { return len(w.pages) + len(w.archive) }
 
 // Limits are what the state service bears, now and after any change to come.
 type Limits struct {
@@ -50,6 +61,7 @@
 	limits  Limits
 	budget  *rate.Limiter
 	pages   []*page
+	room    roomIndex
 	pageOf  map[Item]*page
 	dirty   []*page
 	writes  []*Write
@@ -104,6 +116,7 @@
 	p.items = append(p.items, item)
 	p.reserved += s.reserve(item)
 	s.pageOf[item] = p
+	s.indexRoom(p)
 }
 
 // reserve is what is set aside for an item: never more than a page holds. An item
@@ -135,6 +148,7 @@
 	s.pageOf[fresh] = p
 	p.items[slices.Index(p.items, old)] = fresh
 	p.reserved += s.reserve(fresh) - s.reserve(old)
+	s.indexRoom(p)
 	s.markDirty(now, p, w)
 }
 
@@ -147,15 +161,26 @@
 	delete(s.pageOf, item)
 	p.remove(item)
 	p.reserved -= s.reserve(item)
+	s.indexRoom(p)
 	s.markDirty(now, p, w)
 }
 
 func (s *Store) newPage() *page {
 	p := &page{number: len(s.pages), reserved: pageSize}
 	s.pages = append(s.pages, p)
+	s.indexRoom(p)
 	return p
 }
 
+// indexRoom notes how much room a page has, or that it takes nothing while it is written.
+func (s *Store) indexRoom(p *page) {
+	if p.inFlight {
+		s.room.set(p.number, noRoom)
+		return
+	}
+	s.room.set(p.number, s.limits.PageBytes-p.reserved)
+}
+
 func (s *Store) markDirty(now time.Duration, p *page, w *CommitWait) {
 	patience := soonRetries
 	if w != nil {
@@ -176,13 +201,14 @@
 // pageWithRoom picks a page: one that will be written anyway, else the first with
 // space, else a new one; none that would have to wait for a write in flight.
 func (s *Store) pageWithRoom(size int) *page {
-	for _, pages := range [][]*page{s.dirty, s.pages} {
-		for _, p := range pages {
-			if !p.inFlight && p.reserved+size <= s.limits.PageBytes {
-				return p
-			}
+	for _, p := range s.dirty {
+		if !p.inFlight && p.reserved+size <= s.limits.PageBytes {
+			return p
 		}
 	}
+	if n := s.room.first(size); n >= 0 {
+		return s.pages[n]
+	}
 	return s.newPage()
 }
 
@@ -216,7 +242,7 @@
 		if w.sent || now < w.again {
 			continue
 		}
-		if !s.budget.AllowN(at(now), min(len(w.pages), s.budget.Burst())) {
+		if !s.budget.AllowN(at(now), min(w.keys(), s.budget.Burst())) {
 			return nil, true
 		}
 		w.sent = true
@@ -269,13 +295,20 @@
 	if w.guard != nil {
 		w.Txn.If = append(w.Txn.If, protocol.Condition{Key: w.guard.key(), Version: w.guard.version})
 		w.guard.inFlight = true
+		s.indexRoom(w.guard)
 	}
 	for _, p := range w.pages {
 		w.Txn.If = append(w.Txn.If, protocol.Condition{Key: p.key(), Version: p.version})
-		w.Txn.Then = append(w.Txn.Then, protocol.Change{Put: p.key(), Value: p.value(w.ID)})
+		if p.dropped = len(w.archive) > 0 && len(p.items) == 0; p.dropped {
+			w.Txn.Then = append(w.Txn.Then, protocol.Change{Drop: p.key()})
+		} else {
+			w.Txn.Then = append(w.Txn.Then, protocol.Change{Put: p.key(), Value: p.value(w.ID)})
+		}
 		w.waits = append(w.waits, p.waits)
 		p.dirty, p.inFlight, p.waits = false, true, nil
+		s.indexRoom(p)
 	}
+	w.fillArchive()
 	s.dirty = slices.DeleteFunc(s.dirty, func(p *page) bool { return !p.dirty })
 	s.writes = append(s.writes, w)
 }
@@ -288,9 +321,15 @@
 	s.writes = slices.DeleteFunc(s.writes, func(x *Write) bool { return x == w })
 	if w.guard != nil {
 		w.guard.inFlight = false
+		s.indexRoom(w.guard)
 	}
+	w.Version = version
 	for _, p := range w.pages {
 		p.version, p.inFlight = version, false
+		if p.dropped {
+			p.version, p.dropped = 0, false
+		}
+		s.indexRoom(p)
 	}
 	for _, waits := range w.waits {
 		for _, wait := range waits {
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -275,7 +275,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.wait)
 	defer cancel()
 	r := coordination.PeerResult{PeerCall: c}
-	res, raw, err := p.call(ctx, c.Peer, http.MethodPost, protocol.PathStepDown, protocol.Encode(protocol.StepDown{Term: c.Term, Leader: p.own}))
+	res, raw, err := p.call(ctx, c.Peer, http.MethodPost, protocol.PathStepDown, protocol.Encode(protocol.StepDown{Term: c.Term, Leader: p.own, ReadsArchive: c.AsksArchive}))
 	if err != nil || res.StatusCode != http.StatusOK {
 		return r
 	}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -191,7 +191,7 @@
 			http.Error(w, "body", http.StatusBadRequest)
 			return
 		}
-		reply = s.owner.Do(coordination.StepDownCall{Term: m.Term, Leader: m.Leader}, Raw{}, protocol.PollWaitS*time.Second)
+		reply = s.owner.Do(coordination.StepDownCall{Term: m.Term, Leader: m.Leader, AsksArchive: m.ReadsArchive}, Raw{}, protocol.PollWaitS*time.Second)
 	} else {
 		reply = serveUser(s.owner, s.limit, Raw{Method: r.Method, Path: r.URL.Path, Body: body, FromPeer: true})
 	}
