Only machines with tasks of a lower order are looked at for tasks to be stopped

Change: once a pass, the lowest order of a machine's tasks; for a job only machines with a lower one than its own. Which tasks may be stopped is the same.

--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -48,6 +48,7 @@
 	failedJobs map[string]bool
 	cordoned   bool
 	returning  bool
+	leastOrder int           // of the tasks that could be stopped, see yielding
 	draining   bool          // is being emptied
 	drainNext  time.Duration // until when not to look again whether it can be
 	returnCall bool
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -112,12 +112,12 @@
 // pass is what one placement pass has found out so far, so that a machine isn't
 // looked at again for every task that waits.
 type pass struct {
-	room     map[shape][]*host // machines with room for such a task
-	freeing  []*host           // those that stopping tasks are about to leave
-	yielding []*host           // those with tasks that some job may have stopped
-	yields   bool              // yielding has been made
-	booting  []*host
-	vain     map[claim]bool // no task that may be stopped makes room for these
+	room    map[shape][]*host // machines with room for such a task
+	freeing []*host           // those that stopping tasks are about to leave
+	// Machines with tasks that jobs of an order may have stopped.
+	yieldingAbove map[int][]*host
+	booting       []*host
+	vain          map[claim]bool // no task that may be stopped makes room for these
 	// Nothing of the team may be stopped for its jobs of up to this order.
 	vainLimit map[*team]int
 }
@@ -142,7 +142,7 @@
 func (e *engine) beginPass() {
 	p := &e.pass
 	p.room, p.vain, p.vainLimit = map[shape][]*host{}, map[claim]bool{}, map[*team]int{}
-	p.freeing, p.yielding, p.booting, p.yields = p.freeing[:0], p.yielding[:0], p.booting[:0], false
+	p.freeing, p.booting, p.yieldingAbove = p.freeing[:0], p.booting[:0], nil
 	for _, t := range e.teams {
 		t.owed = need{}
 	}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -93,7 +93,7 @@
 	if free && e.pass.vain[c] {
 		return nil, nil
 	}
-	list := e.yielding()
+	list := e.yielding(c.order)
 	var best *host
 	var victims []*task
 	bestCost := math.Inf(1)
@@ -143,22 +143,39 @@
 	return best, victims
 }
 
-// yielding lists the machines with tasks that could be stopped for some job:
-// all but those of the highest priority within their team's guarantee.
-func (e *engine) yielding() []*host {
+// yielding lists the machines with tasks that could be stopped for a job of such an order:
+// tasks of jobs of a lower one. What is placed later in a pass is of jobs of at least the
+// order of those that are still to come.
+func (e *engine) yielding(above int) []*host {
 	p := &e.pass
-	if !p.yields {
-		p.yields = true
+	if p.yieldingAbove == nil {
+		p.yieldingAbove = map[int][]*host{}
 		for _, h := range e.byName {
-			e.n.Stats.HostsSeen++
-			if h.up && slices.ContainsFunc(h.tasks, func(t *task) bool {
-				return !t.job.Cancelled && !(t.job.priority() == protocol.Production && t.job.within)
-			}) {
-				p.yielding = append(p.yielding, h)
+			h.leastOrder = e.leastOrder(h)
+		}
+	}
+	list, ok := p.yieldingAbove[above]
+	if !ok {
+		for _, h := range e.byName {
+			if h.up && h.leastOrder < above {
+				list = append(list, h)
 			}
 		}
+		p.yieldingAbove[above] = list
+	}
+	return list
+}
+
+// leastOrder is the lowest order of the tasks on a machine that could be stopped.
+func (e *engine) leastOrder(h *host) int {
+	e.n.Stats.HostsSeen++
+	least := math.MaxInt
+	for _, t := range h.tasks {
+		if !t.job.Cancelled && !t.stopping {
+			least = min(least, order(t.job))
+		}
 	}
-	return p.yielding
+	return least
 }
 
 // lossOf is what stopping a task costs, in seconds of work.
