A placement pass waits by what the last one looked at; no budget, no sorting of pages

Cause: by the same profile the leader makes several hundred passes a second at that size, and every step sorts and measures the pages to be written, also while the budget is used up.

--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -61,6 +61,9 @@
 
 // placeAll places what waits, in order, and frees room for what may take it.
 func (e *engine) placeAll() {
+	before := e.n.Stats.HostsSeen
+	e.pass.looks = 0
+	defer func() { e.pass.looks += e.n.Stats.HostsSeen - before }()
 	e.fleet.unplaced = e.fleet.unplaced[:0]
 	now := e.n.now.Mono
 	q := e.queue()
@@ -117,6 +120,7 @@
 	// Machines with tasks that jobs of an order may have stopped.
 	yieldingAbove map[int][]*host
 	booting       []*host
+	looks         int64          // at machines, and at tasks of these
 	vain          map[claim]bool // no task that may be stopped makes room for these
 	// Nothing of the team may be stopped for its jobs of up to this order.
 	vainLimit map[*team]int
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -27,6 +27,7 @@
 	backOff      time.Duration // how long a node that gave up the term leaves it to others
 	sweep        time.Duration // between looks at all machines
 	passBackOff  time.Duration // for each job that waits in vain, between placement passes
+	lookBackOff  time.Duration // for each look at a machine or a task in the last one, the same
 	blockTasks   int           // how many tasks a block of a new job has
 	endedKept    int           // ended jobs that a leader keeps in memory, before they are moved to the archive
 	archivePages int           // pages of the archive that a leader keeps in memory
@@ -35,6 +36,9 @@
 // drift is more than twice what the steady clocks of two machines may differ by.
 const drift = 0.0011
 
+// looksASweep is how many looks a core could spend a sweep on.
+const looksASweep = 100_000
+
 // Ended jobs may take a part of the memory, and so may pages of the archive, which take
 // several times in memory what they take as they are stored.
 const (
@@ -79,6 +83,9 @@
 	r.archivePages = max(archivePagesLeast, int(memory/archiveCacheShare/(cfg.Settings.State.ValueKB*1024)))
 	r.backOff = r.ttl * 2
 	r.passBackOff = r.sweep / 1000
+	// A look takes a fraction of a microsecond of a core. With this, passes leave most of the
+	// process's share of one to the rest.
+	r.lookBackOff = time.Duration(float64(r.sweep) / looksASweep / min(1, cfg.Settings.Limits.CPU))
 	r.healthFor = r.ttl * 6
 	r.probe = sec(w.Lease / 12)
 	r.probeTimeout = r.probe * 5 / 2
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -254,6 +254,9 @@
 // collect picks dirty pages for one transaction, by when they are due, and takes its
 // budget.
 func (s *Store) collect(now time.Duration) *Write {
+	if s.budget.TokensAt(at(now)) < 1 {
+		return nil // before anything is sorted or measured for it
+	}
 	slices.SortStableFunc(s.dirty, func(a, b *page) int { return cmp.Compare(a.due, b.due) })
 	w := &Write{sent: true}
 	most := min(s.limits.ChangesPerTxn, max(1, int(s.budget.TokensAt(at(now)))))
