--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -162,7 +162,8 @@
 	SinceS      float64             `json:"since_s"`
 	CertainForS float64             `json:"certain_for_s"`
 	Jobs        int                 `json:"jobs"`
-	Over        int                 `json:"over"`
+	Over        int                 `json:"over"` // ended jobs in memory, that is not in the archive
+	Archive     ArchiveStatus       `json:"archive"`
 	Classes     map[string]Queue    `json:"classes"`
 	Teams       map[string]TeamUse  `json:"teams"`
 	Machines    map[string]Machines `json:"machines"`
@@ -218,7 +219,7 @@
 	now := e.n.now.Mono
 	pages, oldest := e.store.Backlog(now)
 	l := &LeaderStatus{
-		SinceS: (now - e.ledAt).Seconds(), CertainForS: max(0, e.n.term.until-now).Seconds(), Jobs: len(e.order), Over: len(e.finals),
+		SinceS: (now - e.ledAt).Seconds(), CertainForS: max(0, e.n.term.until-now).Seconds(), Jobs: len(e.order), Over: len(e.finals), Archive: e.archive.status(),
 		Classes: map[string]Queue{}, Teams: map[string]TeamUse{}, Machines: map[string]Machines{},
 		Doubts: []string{}, Cordoned: []string{}, SteppedDown: []string{}, Backlog: pages, BacklogS: oldest.Seconds(), Pages: e.store.Pages(), Unsplit: e.store.Unsplit(),
 	}
--- a/internal/coordination/archive.go
+++ b/internal/coordination/archive.go
@@ -337,3 +337,19 @@
 		}
 	}
 }
+
+// ArchiveStatus is what an operator is told of the archive of ended jobs.
+type ArchiveStatus struct {
+	Used         bool `json:"used"`
+	Kept         int  `json:"kept"` // how many ended jobs are kept out of it
+	PagesHeld    int  `json:"pages_held"`
+	Waiting      int  `json:"requests_waiting"`
+	Moving       int  `json:"jobs_being_moved"`
+	PeersReading int  `json:"peers_reading"` // asked only once there is something to be moved
+}
+
+func (a *archive) status() ArchiveStatus {
+	return ArchiveStatus{
+		Used: a.exists, Kept: a.e.rules.endedKept, PagesHeld: len(a.cache), Waiting: len(a.asks), Moving: len(a.moving), PeersReading: len(a.readers),
+	}
+}
--- /dev/null
+++ b/internal/coordination/takeover_test.go
@@ -0,0 +1,120 @@
+package coordination_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"oakpick/internal/config"
+	"oakpick/internal/coordination"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
+)
+
+// takesOver has a new controller take the term, with each request to the state service
+// answered at once, and gives how many entries it was given.
+func takesOver(t testing.TB, w *fake.World, cfg *config.Config) (entries int) {
+	t.Helper()
+	n := coordination.New(cfg, "boot", 1)
+	now := coordination.Now{WallMs: 1_000_000}
+	var give func(command coordination.Command)
+	give = func(command coordination.Command) {
+		now.Mono += time.Millisecond
+		for _, effect := range n.Step(now, []coordination.Command{command}) {
+			if c, ok := effect.(coordination.StateCall); ok && n.Role() != "leader" {
+				r := w.State.Execute(c.StateCall)
+				entries += len(r.List.Entries)
+				give(coordination.StateResult{StateResult: r})
+			}
+		}
+	}
+	for range 10 {
+		if n.Role() != "leader" {
+			now.Mono += 500 * time.Millisecond
+			give(coordination.Tick{})
+		}
+	}
+	if n.Role() != "leader" {
+		t.Fatalf("is %s", n.Role())
+	}
+	return entries
+}
+
+// recordedFleet is a state service with so many jobs that aren't over, as many ended ones as
+// a leader keeps, and so many in the archive.
+func recordedFleet(unfinished, kept, archived int) (*fake.World, *config.Config) {
+	s := fake.Settings()
+	s.State.ValueKB = 8
+	w := fake.NewWorld(s)
+	for _, n := range w.Nodes {
+		n.Crash()
+	}
+	w.State.ListMost = 200
+	values := map[string][]byte{}
+	pages := 0
+	add := func(v storage.PageValue) {
+		v.ID = "1-1"
+		values[fmt.Sprintf("%s%06d", storage.Prefix, pages)] = protocol.Encode(v)
+		pages++
+	}
+	for first := 0; first < unfinished; first += 20 {
+		var v storage.PageValue
+		for i := first; i < min(first+20, unfinished); i++ {
+			sub := job(i, protocol.Array, 4)
+			v.Jobs = append(v.Jobs, storage.NewJobRecord(&sub, 1000))
+		}
+		add(v)
+	}
+	for first := 0; first < kept; first += 200 {
+		var v storage.PageValue
+		for i := first; i < min(first+200, kept); i++ {
+			v.Finals = append(v.Finals, storage.FinalRecord{ID: fmt.Sprintf("wk-8%08d", i), Tasks: 4})
+		}
+		add(v)
+	}
+	const each = 200
+	for first := 0; first < archived; first += each {
+		v := storage.ArchiveValue{ID: "1-1"}
+		for i := first; i < min(first+each, archived); i++ {
+			v.Finals = append(v.Finals, storage.FinalRecord{ID: fmt.Sprintf("wk-9%08d", i), Tasks: 4})
+		}
+		bound := fmt.Sprintf("wk-9%08d", first+each)
+		if first+each >= archived {
+			bound = storage.LastBound
+		}
+		values[storage.ArchivePrefix+bound] = protocol.Encode(v)
+	}
+	w.State.Restore(values)
+	return w, &config.Config{Node: "n9", Settings: s}
+}
+
+// What a take-over reads doesn't grow with what is in the archive.
+func TestTakeOverDoesNotReadTheArchive(t *testing.T) {
+	few, cfg := recordedFleet(100, 100, 0)
+	many, _ := recordedFleet(100, 100, 20_000)
+	a, b := takesOver(t, few, cfg), takesOver(t, many, cfg)
+	if b > a+1 { // one to see that there is an archive
+		t.Errorf("%d entries with an empty archive, %d with a full one", a, b)
+	}
+}
+
+// BenchmarkTakeOver times a take-over from the lease to the first moment as leader, with the
+// state service answering at once.
+func BenchmarkTakeOver(b *testing.B) {
+	const unfinished, kept = 2600, 6000
+	for _, archived := range []int{0, 26_000, 1_040_000} {
+		b.Run(fmt.Sprintf("ended=%d", archived), func(b *testing.B) {
+			w, cfg := recordedFleet(unfinished, kept, archived)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				cfg.Node = fmt.Sprint("n", 10+i)
+				takesOver(b, w, cfg)
+				b.StopTimer()
+				w.Run(5 * time.Second) // the lease of the last one ends
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -141,6 +141,9 @@
 	return s.keys[key].from
 }
 
+// Execute executes a request at once, whoever sends it.
+func (s *State) Execute(c storage.StateCall) storage.StateResult { return s.execute("", false, c) }
+
 func (s *State) execute(from string, old bool, c storage.StateCall) storage.StateResult {
 	r := storage.StateResult{ID: c.ID}
 	if s.Down || s.Cut[from] {
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -113,6 +113,16 @@
 	w.PollUnknown()
 }
 
+// PollEnded asks about a job that ended before the world began.
+func (w *World) PollEnded(id string) {
+	w.ask(coordination.UserCall{Kind: coordination.Poll, Job: id}, func(r coordination.Reply, ok bool) {
+		var a protocol.JobAnswer
+		if ok && (r.Status == 404 || r.Status == 200 && (protocol.Decode(r.Body, &a) != nil || a.Status != protocol.StatusDone)) {
+			w.fail("forgotten", "%s, which is done: %d %s", id, r.Status, a.Status)
+		}
+	})
+}
+
 // PollUnknown asks about a job that nobody has submitted.
 func (w *World) PollUnknown() {
 	w.ask(coordination.UserCall{Kind: coordination.Poll, Job: "wk-999999"}, func(r coordination.Reply, ok bool) {
--- a/internal/scale/parameters.go
+++ b/internal/scale/parameters.go
@@ -32,6 +32,7 @@
 	Urgent       float64 `name:"urgent" default:"1" validate:"gte=0,lte=100" help:"Urgent jobs a second, of one to four tasks."`
 	Cancelled    float64 `name:"cancelled" default:"0.03" validate:"gte=0,lte=1" help:"Share of the jobs that their users cancel."`
 	Ended        int     `name:"ended" default:"0" validate:"gte=0,lte=20000000" help:"Ended jobs on record at the beginning."`
+	Archived     int     `name:"archived" default:"0" validate:"gte=0,lte=20000000" help:"Ended jobs in the archive at the beginning."`
 	Controllers  int     `name:"controllers" default:"3" validate:"oneof=1 3 5" help:"Controllers: 1, 3 or 5."`
 
 	Steps   []float64     `name:"steps" default:"0.25,0.5,1" validate:"min=1,max=8,dive,gt=0,lte=1" help:"Parts of the full size, one after the other."`
@@ -109,14 +110,14 @@
 	}
 	want, half := p.memory(), int(*info.MemTotalBytes/2)
 	if want > half {
-		problems = append(problems, fmt.Errorf("about %d MB are needed, and half of the machine's memory is %d MB: fewer --controllers, --workers, --running or --ended, or less --mem-mb", want>>20, half>>20))
+		problems = append(problems, fmt.Errorf("about %d MB are needed, and half of the machine's memory is %d MB: fewer --controllers, --workers, --running, --ended or --archived, or less --mem-mb", want>>20, half>>20))
 	}
 	return problems
 }
 
 // memory is what a run takes at most.
 func (p *Parameters) memory() int {
-	hollow := p.Workers*bytesEachWorker + p.Running*bytesEachTask + p.Ended*bytesEachEnded
+	hollow := p.Workers*bytesEachWorker + p.Running*bytesEachTask + (p.Ended+p.Archived)*bytesEachEnded
 	return hollow + p.Controllers*int(p.MemMB*(1<<20))
 }
 
@@ -135,7 +136,7 @@
 		s.Starts, s.Jobs = p.Starts*part, p.Jobs*part
 	}
 	if scaled("ended") {
-		s.Ended = int(float64(p.Ended) * part)
+		s.Ended, s.Archived = int(float64(p.Ended)*part), int(float64(p.Archived)*part)
 	}
 	return s
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -97,6 +97,7 @@
 	w := y.world
 	w.State.ListMost = mostListed
 	w.State.Restore(endedPages(p.Ended, p.ValueKB))
+	w.State.Restore(archivedPages(p.Archived, p.ValueKB))
 	w.Cloud.Address = a.worker
 	accelerated := (p.accelerated() + len(s.Zones) - 1) / len(s.Zones)
 	plain := (p.Workers - p.accelerated() + len(s.Zones) - 1) / len(s.Zones)
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -37,7 +37,7 @@
 	t.Helper()
 	t.Setenv(asController, "1")
 	return Parameters{
-		Workers: 30, Accelerators: 48, Running: 150, Starts: 15, Jobs: 2, Teams: 5, Gang: 8, Urgent: 1, Cancelled: 0.1, Ended: 500,
+		Workers: 30, Accelerators: 48, Running: 150, Starts: 15, Jobs: 2, Teams: 5, Gang: 8, Urgent: 1, Cancelled: 0.1, Ended: 500, Archived: 2000,
 		Controllers: 3, Steps: []float64{0.5, 1}, Vary: "all", Settle: 9 * time.Second, Measure: 3 * time.Second, Windows: 3,
 		Recover: 6 * time.Second, Seed: 1, ReportS: 2, LeaseS: 10, CancelS: 25, RPS: 200, WriteRPS: 40, ValueKB: 4, CPU: 0.5, MemMB: 128, Sockets: 400,
 	}, []string{os.Args[0]}
--- a/internal/scale/workload.go
+++ b/internal/scale/workload.go
@@ -75,10 +75,18 @@
 		if l.p.Gang > 1 {
 			l.every(func() time.Duration { return gangEvery }, l.gang)
 		}
-		l.every(func() time.Duration { return time.Second }, l.world.PollUnknown)
+		l.every(func() time.Duration { return time.Second }, l.odd)
 	})
 }
 
+// odd asks about a job that nobody submitted, and about one that ended long ago.
+func (l *workload) odd() {
+	l.world.PollUnknown()
+	if l.p.Archived > 0 {
+		l.world.PollEnded(endedRecord(archivedPrefix, l.rng.IntN(l.p.Archived)).ID)
+	}
+}
+
 // apart is a time between two arrivals at so many a second.
 func (l *workload) apart(rate float64) time.Duration {
 	return time.Duration(l.rng.ExpFloat64() / rate * float64(time.Second))
@@ -188,15 +196,43 @@
 	return out
 }
 
+// endedEach is how many ended jobs a page takes: in JSON, which is what counts, one takes
+// about forty bytes.
+func endedEach(valueKB float64) int { return max(1, int(valueKB*1024*0.9/40)) }
+
+// The ids of the jobs that ended before a run begin with these.
+const archivedPrefix, endedPrefix = "wk-8", "wk-9"
+
+func endedRecord(prefix string, i int) storage.FinalRecord {
+	return storage.FinalRecord{ID: fmt.Sprintf("%s%010d", prefix, i), Tasks: 3}
+}
+
+// archivedPages are the pages of an archive of so many ended jobs.
+func archivedPages(count int, valueKB float64) map[string][]byte {
+	each := endedEach(valueKB)
+	pages := map[string][]byte{}
+	for first := 0; first < count; first += each {
+		value := storage.ArchiveValue{ID: "0-0"}
+		for i := first; i < min(first+each, count); i++ {
+			value.Finals = append(value.Finals, endedRecord(archivedPrefix, i))
+		}
+		bound := endedRecord(archivedPrefix, first+each).ID
+		if first+each >= count {
+			bound = storage.LastBound
+		}
+		pages[storage.ArchivePrefix+bound] = protocol.Encode(value)
+	}
+	return pages
+}
+
 // endedPages are the pages of a state service that has so many ended jobs on record.
 func endedPages(count int, valueKB float64) map[string][]byte {
-	const bytesEach = 40 // in JSON, which is what counts
-	each := int(valueKB * 1024 * 0.9 / bytesEach)
+	each := endedEach(valueKB)
 	pages := map[string][]byte{}
 	for first := 0; first < count; first += each {
 		value := storage.PageValue{ID: "0-0"}
 		for i := first; i < min(first+each, count); i++ {
-			value.Finals = append(value.Finals, storage.FinalRecord{ID: fmt.Sprintf("wk-9%010d", i), Tasks: 3})
+			value.Finals = append(value.Finals, endedRecord(endedPrefix, i))
 		}
 		pages[fmt.Sprintf("%s%06d", storage.Prefix, len(pages))] = protocol.Encode(value)
 	}
