--- a/internal/scale/carrier.go
+++ b/internal/scale/carrier.go
@@ -115,7 +115,7 @@
 		c.loop.do(func() {
 			c.meter.answered(what + " " + strconv.Itoa(answer.Status))
 			if answer.Status == http.StatusOK || answer.Status == http.StatusCreated {
-				c.meter.took(what, took)
+				c.meter.times.Add(what, took)
 				c.times.answer(c.loop.world.Now)
 			}
 			reply(answer)
--- a/internal/scale/faults.go
+++ b/internal/scale/faults.go
@@ -141,7 +141,7 @@
 	if err := y.sleep(ctx, "after fault "+name, y.p.Recover); err != nil {
 		return nil, err
 	}
-	r := &FaultReport{Fault: name, Urgent: y.meter.latencies()["urgent start received"]}
+	r := &FaultReport{Fault: name, Urgent: y.meter.times.Summaries()["urgent start received"]}
 	y.loop.wait(func() {
 		answers, starts := y.times.seen(y.world.Now)
 		r.WithoutAnswers, r.WithoutStarts = answers.Seconds(), starts.Seconds()
--- a/internal/scale/meter.go
+++ b/internal/scale/meter.go
@@ -4,9 +4,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
+	"oakpick/internal/latency"
 )
 
 // kind tells sockets and messages apart.
@@ -30,37 +29,20 @@
 type meter struct {
 	traffic map[kind]*traffic
 
+	times *latency.Recorder
+
 	mu       sync.Mutex
-	times    map[string]*hdrhistogram.Histogram
 	statuses map[string]int64
 }
 
 func newMeter() *meter {
-	m := &meter{traffic: map[kind]*traffic{}, times: map[string]*hdrhistogram.Histogram{}, statuses: map[string]int64{}}
+	m := &meter{traffic: map[kind]*traffic{}, times: latency.NewRecorder(), statuses: map[string]int64{}}
 	for _, k := range kinds {
 		m.traffic[k] = &traffic{}
 	}
 	return m
 }
 
-// Times go from a microsecond to ten minutes, to two digits.
-const (
-	leastMicros, mostMicros = 1, 600_000_000
-	timeDigits              = 2
-)
-
-// took records a time.
-func (m *meter) took(what string, d time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	h := m.times[what]
-	if h == nil {
-		h = hdrhistogram.New(leastMicros, mostMicros, timeDigits)
-		m.times[what] = h
-	}
-	_ = h.RecordValue(min(max(d.Microseconds(), leastMicros), mostMicros)) // always in range
-}
-
 // answered counts an answer by what was asked and its status.
 func (m *meter) answered(what string) {
 	m.mu.Lock()
@@ -72,29 +54,10 @@
 func (m *meter) forget() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	clear(m.times)
+	m.times.Reset()
 	clear(m.statuses)
 }
 
-// Latency sums up times, in milliseconds.
-type Latency struct {
-	Count int64   `json:"count"`
-	P50   float64 `json:"p50_ms"`
-	P99   float64 `json:"p99_ms"`
-	Max   float64 `json:"max_ms"`
-}
-
-func (m *meter) latencies() map[string]Latency {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := map[string]Latency{}
-	for what, h := range m.times {
-		ms := func(micros int64) float64 { return float64(micros) / 1000 }
-		out[what] = Latency{h.TotalCount(), ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(99)), ms(h.Max())}
-	}
-	return out
-}
-
 func (m *meter) answers() map[string]int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+
+	"oakpick/internal/latency"
 )
 
 // Report is what a run found.
@@ -47,9 +49,9 @@
 	StateBytes      int     `json:"state_bytes"`
 	StateWritesPerS float64 `json:"state_writes_per_s"`
 
-	Times    map[string]Latency `json:"times"`
-	Answers  map[string]int64   `json:"answers"`
-	TasksDue int                `json:"jobs_not_accepted"`
+	Times    map[string]latency.Summary `json:"times"`
+	Answers  map[string]int64           `json:"answers"`
+	TasksDue int                        `json:"jobs_not_accepted"`
 
 	windows []window
 }
@@ -67,12 +69,12 @@
 	Fault string `json:"fault"`
 	// WithoutAnswers and WithoutStarts are the longest times for which no user was
 	// answered and no start was executed, from the fault until the end of the watch.
-	WithoutAnswers float64 `json:"longest_without_answers_s"`
-	WithoutStarts  float64 `json:"longest_without_starts_s"`
-	KilledByLease  int     `json:"tasks_killed_by_lease"`
-	TasksDied      int     `json:"tasks_on_machines_that_died"`
-	Broken         int     `json:"rules_broken"`
-	Urgent         Latency `json:"urgent_start_received"`
+	WithoutAnswers float64         `json:"longest_without_answers_s"`
+	WithoutStarts  float64         `json:"longest_without_starts_s"`
+	KilledByLease  int             `json:"tasks_killed_by_lease"`
+	TasksDied      int             `json:"tasks_on_machines_that_died"`
+	Broken         int             `json:"rules_broken"`
+	Urgent         latency.Summary `json:"urgent_start_received"`
 }
 
 // WriteJSON writes the report for programs.
--- a/internal/scale/sample.go
+++ b/internal/scale/sample.go
@@ -87,7 +87,7 @@
 		before = now
 	}
 	r.sumUp(between(first, before))
-	r.Times, r.Answers = y.meter.latencies(), y.meter.answers()
+	r.Times, r.Answers = y.meter.times.Summaries(), y.meter.answers()
 	y.loop.wait(func() {
 		r.StateKeys, r.StateBytes = y.world.State.Size()
 		for _, j := range y.workload.jobs {
--- a/internal/scale/workload.go
+++ b/internal/scale/workload.go
@@ -173,14 +173,14 @@
 	name := fmt.Sprintf("%s/%d", j.Sub.ID, task)
 	if !l.started[name] {
 		l.started[name] = true
-		l.meter.took("urgent start received", l.world.Now-j.SubmittedAt)
+		l.meter.times.Add("urgent start received", l.world.Now-j.SubmittedAt)
 	}
 }
 
 // taskOnMachine notes that a task has its image.
 func (l *workload) taskOnMachine(j *fake.Job, task int) {
 	if j.Sub.Class == urgentClass && l.started[fmt.Sprintf("%s/%d", j.Sub.ID, task)] {
-		l.meter.took("urgent start executed", l.world.Now-j.SubmittedAt)
+		l.meter.times.Add("urgent start executed", l.world.Now-j.SubmittedAt)
 	}
 }
 
