--- a/internal/coordination/engine.go
+++ b/internal/coordination/engine.go
@@ -59,7 +59,8 @@
 			e.placeAll()
 			// The more waits in vain, the more a pass takes, and the less it matters
 			// that the next is a little later.
-			e.passAt = now + time.Duration(len(e.fleet.unplaced))*e.rules.passBackOff + time.Duration(e.pass.looks)*e.rules.lookBackOff
+			looks := min(time.Duration(e.pass.looks())*e.rules.lookBackOff, e.rules.looksMost)
+			e.passAt = now + time.Duration(len(e.fleet.unplaced))*e.rules.passBackOff + looks
 		}
 		e.fleetTick()
 	}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -62,8 +62,8 @@
 // placeAll places what waits, in order, and frees room for what may take it.
 func (e *engine) placeAll() {
 	before := e.n.Stats.HostsSeen
-	e.pass.looks = 0
-	defer func() { e.pass.looks += e.n.Stats.HostsSeen - before }()
+	e.pass.tasks = 0
+	defer func() { e.pass.machines = e.n.Stats.HostsSeen - before }()
 	e.fleet.unplaced = e.fleet.unplaced[:0]
 	now := e.n.now.Mono
 	q := e.queue()
@@ -120,12 +120,19 @@
 	// Machines with tasks that jobs of an order may have stopped.
 	yieldingAbove map[int][]*host
 	booting       []*host
-	looks         int64          // at machines, and at tasks of these
+	machines      int64          // looked at
+	tasks         int64          // looked at, of machines where some might be stopped
 	vain          map[claim]bool // no task that may be stopped makes room for these
 	// Nothing of the team may be stopped for its jobs of up to this order.
 	vainLimit map[*team]int
 }
 
+// looks is how much a pass has looked at, in machines: so many tasks take as long as one.
+func (p *pass) looks() int64 {
+	const tasksALook = 16
+	return p.machines + p.tasks/tasksALook
+}
+
 // shape is what tells tasks apart that ask for the same machines.
 type shape struct {
 	need        need
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		room := h.virtual.plus(h.leaving).plus(extra[h])
-		e.pass.looks += int64(len(h.tasks))
+		e.pass.tasks += int64(len(h.tasks))
 		var may []*task
 		for _, t := range h.tasks {
 			if !t.stopping && !taken[t] && mayPreempt(j, t) {
@@ -170,7 +170,7 @@
 // leastOrder is the lowest order of the tasks on a machine that could be stopped.
 func (e *engine) leastOrder(h *host) int {
 	e.n.Stats.HostsSeen++
-	e.pass.looks += int64(len(h.tasks))
+	e.pass.tasks += int64(len(h.tasks))
 	least := math.MaxInt
 	for _, t := range h.tasks {
 		if !t.job.Cancelled && !t.stopping {
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -27,7 +27,8 @@
 	backOff      time.Duration // how long a node that gave up the term leaves it to others
 	sweep        time.Duration // between looks at all machines
 	passBackOff  time.Duration // for each job that waits in vain, between placement passes
-	lookBackOff  time.Duration // for each look at a machine or a task in the last one, the same
+	lookBackOff  time.Duration // for each look at a machine in the last one, the same
+	looksMost    time.Duration // for all of these, at most
 	blockTasks   int           // how many tasks a block of a new job has
 	endedKept    int           // ended jobs that a leader keeps in memory, before they are moved to the archive
 	archivePages int           // pages of the archive that a leader keeps in memory
@@ -85,6 +86,7 @@
 	r.passBackOff = r.sweep / 1000
 	// A look takes a fraction of a microsecond of a core. With this, passes leave most of the
 	// process's share of one to the rest.
+	r.looksMost = r.retry
 	r.lookBackOff = time.Duration(float64(r.sweep) / looksASweep / min(1, cfg.Settings.Limits.CPU))
 	r.healthFor = r.ttl * 6
 	r.probe = sec(w.Lease / 12)
