--- a/internal/fake/node.go
+++ b/internal/fake/node.go
@@ -150,28 +150,7 @@
 			f(e)
 		}
 	case coordination.Forward:
-		request, ok := cause.(coordination.Request)
-		if !ok {
-			w.fail("forward", "%s hands on what is no request", n.Name)
-			return
-		}
-		reply := n.replies[e.ID]
-		delete(n.replies, e.ID)
-		for _, p := range w.Nodes {
-			if p.Name == e.Peer {
-				f := w.fate("forward", n.Name, p.Name)
-				if f.LoseRequest {
-					return
-				}
-				w.After(f.Request, func() {
-					p.deliver(request, func(r coordination.Reply) {
-						if !f.LoseAnswer {
-							w.After(f.Answer, func() { reply(r) })
-						}
-					})
-				})
-			}
-		}
+		n.forward(e, cause)
 	case coordination.StateCall:
 		if n.old {
 			e.Txn = w.asProduction(e.Txn)
@@ -198,32 +177,63 @@
 			return w.command(e)
 		}, coordination.OrdersResult{ID: e.ID, Host: e.Host, Outcome: coordination.Lost})
 	case coordination.PeerCall:
-		life := n.life
-		for _, p := range w.Nodes {
-			if p.Name != e.Peer {
-				continue
-			}
-			f := w.fate("peer", n.Name, p.Name)
-			if f.LoseRequest || !p.Up {
-				continue
-			}
-			w.After(f.Request, func() {
-				p.deliver(coordination.StepDownCall{Term: e.Term, Leader: n.Name, AsksArchive: e.AsksArchive && !p.old}, func(r coordination.Reply) {
-					var a protocol.StepDownAnswer
-					if f.LoseAnswer || r.Status != 200 || protocol.Decode(r.Body, &a) != nil {
-						return
-					}
-					w.After(f.Answer, func() {
-						n.back(coordination.PeerResult{PeerCall: e, StepDownAnswer: a}, life)
-					})
-				})
-			})
-		}
+		n.ask(e)
 	case coordination.Log:
 		w.Log = append(w.Log, fmt.Sprintf("%8.2f %s %s %v", w.Now.Seconds(), n.Name, e.Text, e.Args))
 	}
 }
 
+// forward hands a request to another node, and its reply back.
+func (n *Node) forward(e coordination.Forward, cause coordination.Command) {
+	w := n.w
+	request, ok := cause.(coordination.Request)
+	if !ok {
+		w.fail("forward", "%s hands on what is no request", n.Name)
+		return
+	}
+	reply := n.replies[e.ID]
+	delete(n.replies, e.ID)
+	p := w.node(e.Peer)
+	if p == nil {
+		return
+	}
+	f := w.fate("forward", n.Name, p.Name)
+	if f.LoseRequest {
+		return
+	}
+	w.After(f.Request, func() {
+		p.deliver(request, func(r coordination.Reply) {
+			if !f.LoseAnswer {
+				w.After(f.Answer, func() { reply(r) })
+			}
+		})
+	})
+}
+
+// ask asks a peer, and brings its answer to the process.
+func (n *Node) ask(e coordination.PeerCall) {
+	w, life := n.w, n.life
+	p := w.node(e.Peer)
+	if p == nil {
+		return
+	}
+	f := w.fate("peer", n.Name, p.Name)
+	if f.LoseRequest || !p.Up {
+		return
+	}
+	w.After(f.Request, func() {
+		p.deliver(coordination.StepDownCall{Term: e.Term, Leader: n.Name, AsksArchive: e.AsksArchive && !p.old}, func(r coordination.Reply) {
+			var a protocol.StepDownAnswer
+			if f.LoseAnswer || r.Status != 200 || protocol.Decode(r.Body, &a) != nil {
+				return
+			}
+			w.After(f.Answer, func() {
+				n.back(coordination.PeerResult{PeerCall: e, StepDownAnswer: a}, life)
+			})
+		})
+	})
+}
+
 // Ask hands a node a request, and its reply to a function.
 func (n *Node) Ask(request coordination.Request, reply func(coordination.Reply)) {
 	n.deliver(request, reply)
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -149,6 +149,16 @@
 // Well is a network without faults.
 func Well() Fate { return Fate{Request: 2 * time.Millisecond, Answer: 2 * time.Millisecond} }
 
+// node finds a node by its name.
+func (w *World) node(name string) *Node {
+	for _, n := range w.Nodes {
+		if n.Name == name {
+			return n
+		}
+	}
+	return nil
+}
+
 // Leader is the node that leads, if any.
 func (w *World) Leader() *Node {
 	for _, n := range w.Nodes {
--- a/internal/protocol/decode.go
+++ b/internal/protocol/decode.go
@@ -151,86 +151,104 @@
 	maxTypes  = 16
 )
 
-// DecodeSubmission reads and checks the body of a submission.
-func DecodeSubmission(body []byte) (*Submission, error) {
-	if err := checkBody(body); err != nil {
-		return nil, err
-	}
-	var w wireSubmission
-	if err := msgpack.Unmarshal(body, &w); err != nil {
-		return nil, malformed("%v", err)
+// fields reads required fields, and keeps what is wrong with the first that is.
+type fields struct{ bad error }
+
+func (f *fields) fail(format string, args ...any) {
+	if f.bad == nil {
+		f.bad = malformed(format, args...)
 	}
-	var bad error
-	text := func(name string, v *string) string {
-		if bad == nil && (v == nil || *v == "" || len(*v) > maxName) {
-			bad = malformed("%s: missing, empty or too long", name)
-		}
-		if v == nil {
-			return ""
-		}
-		return *v
+}
+
+func (f *fields) text(name string, v *string) string {
+	if v == nil || *v == "" || len(*v) > maxName {
+		f.fail("%s: missing, empty or too long", name)
 	}
-	amount := func(name string, v *float64) float64 {
-		if bad == nil && (v == nil || math.IsNaN(*v) || *v < 0 || *v > maxAmount) {
-			bad = malformed("%s: missing or out of range", name)
-		}
-		if v == nil {
-			return 0
-		}
-		return *v
+	if v == nil {
+		return ""
 	}
-	flag := func(name string, v *bool) bool {
-		if bad == nil && v == nil {
-			bad = malformed("%s: missing", name)
-		}
-		return v != nil && *v
+	return *v
+}
+
+func (f *fields) amount(name string, v *float64) float64 {
+	if v == nil || math.IsNaN(*v) || *v < 0 || *v > maxAmount {
+		f.fail("%s: missing or out of range", name)
 	}
-	s := &Submission{
-		ID: text("id", w.ID), Class: text("jobclass", w.JobClass), Team: text("owner", w.Owner),
-		CPUs: amount("vcpus", w.VCPUs), GPUs: amount("gpus", w.GPUs), MemoryGB: amount("mem_gb", w.MemGB),
-		Image: text("bundle", w.Bundle), ImageGB: amount("image_gb", w.ImageGB),
-		OneZone: flag("together", w.Together), Spread: flag("spread", w.Spread), Spot: flag("loaners", w.Loaners),
-		Estimate: amount("expected_s", w.Expected), SaveEach: amount("savepoint_s", w.Savepoint),
-		SaveTime: amount("saving_s", w.Saving),
+	if v == nil {
+		return 0
 	}
-	if bad == nil && !ValidJobID(s.ID) {
-		bad = malformed("id: not a job id")
+	return *v
+}
+
+func (f *fields) flag(name string, v *bool) bool {
+	if v == nil {
+		f.fail("%s: missing", name)
 	}
-	var ok bool
-	if s.Shape, ok = shapeWords[text("shape", w.Shape)]; !ok && bad == nil {
-		bad = malformed("shape: unknown word")
+	return v != nil && *v
+}
+
+// wordOf reads one of a field's words.
+func wordOf[V any](f *fields, name string, words map[string]V, v *string) V {
+	value, ok := words[f.text(name, v)]
+	if !ok {
+		f.fail("%s: unknown word", name)
 	}
-	if s.Priority, ok = priorityWords[text("rank", w.Rank)]; !ok && bad == nil {
-		bad = malformed("rank: unknown word")
+	return value
+}
+
+// kinds reads the allowed machine types; nil: any.
+func (f *fields) kinds(v *[]string) []string {
+	if v == nil {
+		return nil
+	}
+	if len(*v) > maxTypes {
+		f.fail("kinds_of_host: too many")
+	}
+	types := []string{}
+	for _, k := range *v {
+		if k == "" || len(k) > maxName {
+			f.fail("kinds_of_host: empty or too long")
+		}
+		types = append(types, k)
 	}
-	if bad == nil && (w.Pieces == nil || *w.Pieces < 1 || *w.Pieces > MaxTasks) {
-		bad = malformed("pieces: missing or out of range")
+	return types
+}
+
+// DecodeSubmission reads and checks the body of a submission.
+func DecodeSubmission(body []byte) (*Submission, error) {
+	if err := checkBody(body); err != nil {
+		return nil, err
 	}
-	if bad != nil {
-		return nil, bad
+	var w wireSubmission
+	if err := msgpack.Unmarshal(body, &w); err != nil {
+		return nil, malformed("%v", err)
 	}
-	s.Tasks = int(*w.Pieces)
-	if w.Kinds != nil {
-		if len(*w.Kinds) > maxTypes {
-			return nil, malformed("kinds_of_host: too many")
-		}
-		s.Types = []string{}
-		for _, k := range *w.Kinds {
-			if k == "" || len(k) > maxName {
-				return nil, malformed("kinds_of_host: empty or too long")
-			}
-			s.Types = append(s.Types, k)
-		}
+	var f fields
+	s := &Submission{
+		ID: f.text("id", w.ID), Class: f.text("jobclass", w.JobClass), Team: f.text("owner", w.Owner),
+		CPUs: f.amount("vcpus", w.VCPUs), GPUs: f.amount("gpus", w.GPUs), MemoryGB: f.amount("mem_gb", w.MemGB),
+		Image: f.text("bundle", w.Bundle), ImageGB: f.amount("image_gb", w.ImageGB),
+		OneZone: f.flag("together", w.Together), Spread: f.flag("spread", w.Spread), Spot: f.flag("loaners", w.Loaners),
+		Estimate: f.amount("expected_s", w.Expected), SaveEach: f.amount("savepoint_s", w.Savepoint),
+		SaveTime: f.amount("saving_s", w.Saving), Types: f.kinds(w.Kinds),
+		Shape: wordOf(&f, "shape", shapeWords, w.Shape), Priority: wordOf(&f, "rank", priorityWords, w.Rank),
+	}
+	if f.bad == nil && !ValidJobID(s.ID) {
+		f.fail("id: not a job id")
+	}
+	if w.Pieces == nil || *w.Pieces < 1 || *w.Pieces > MaxTasks {
+		f.fail("pieces: missing or out of range")
+	} else {
+		s.Tasks = int(*w.Pieces)
 	}
 	if w.Site != nil {
-		if s.Zone = text("site", w.Site); bad != nil {
-			return nil, bad
-		}
+		s.Zone = f.text("site", w.Site)
 	}
 	if w.Due != nil {
-		if s.Deadline = amount("due_s", w.Due); bad != nil {
-			return nil, bad
-		}
+		s.Deadline = f.amount("due_s", w.Due)
+	}
+	if f.bad != nil {
+		return nil, f.bad
 	}
 	if w.Prereqs != nil {
 		var err error
