--- /dev/null
+++ b/internal/coordination/archive_orderings_test.go
@@ -0,0 +1,147 @@
+package coordination_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"oakpick/internal/coordination"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+)
+
+// slowMoves has writes of pages carried out late, and answers to reads come later still, so
+// that much happens while a move or a read is under way.
+func slowMoves(w *fake.World) {
+	w.HoldsWrites = true
+	w.Network = func(kind, _, _ string) fake.Fate {
+		f := fake.Well()
+		switch kind {
+		case "write":
+			f.Request = 200 * time.Millisecond
+		case "state":
+			f.Answer = 350 * time.Millisecond
+		}
+		return f
+	}
+}
+
+// notLogged fails if a line of the log has a text.
+func notLogged(t *testing.T, w *fake.World, text string) {
+	t.Helper()
+	for _, line := range w.Log {
+		if strings.Contains(line, text) {
+			t.Fatal(line)
+		}
+	}
+}
+
+// A page of the archive is read for a job that nobody knows, a move into that page is carried
+// out, and only then does the answer to the read come: it says nothing of what was moved.
+func TestReadThatCrossesAMove(t *testing.T) {
+	w := worldOf(t, littleMemory())
+	spare(t, w)
+	w.Nodes[2].Crash() // nothing is moved before it says that it reads the archive
+	jobs := endsJobs(t, w, 100_000, 600) // more pages than a leader keeps
+	slowMoves(w)
+	w.Nodes[2].Start()
+	for n := range 400 {
+		if w.Leader() == nil {
+			w.Run(50 * time.Millisecond)
+			continue
+		}
+		w.Leader().Ask(coordination.UserCall{Kind: coordination.Poll, Job: fmt.Sprintf("wk-%06d", 100_000+(n*37)%99_000)}, func(coordination.Reply) {})
+		if n%4 == 0 {
+			w.CloseLook(jobs[n/4%len(jobs)])
+		}
+		w.Run(50 * time.Millisecond)
+		noneVanishes(t, w, jobs)
+	}
+	check(t, w)
+	w.Network = nil
+	askedAll(t, w, jobs)
+}
+
+// Jobs name ended ones while these are on their way to the archive, and the leader ends: the
+// successor finds nothing that it doesn't know.
+func TestPrerequisitesThatAreBeingMoved(t *testing.T) {
+	w := worldOf(t, littleMemory())
+	spare(t, w)
+	w.Nodes[2].Crash() // nothing is moved before it says that it reads the archive
+	jobs := endsJobs(t, w, 100_000, 120)
+	long := w.Submit(job(50, protocol.Array, 1), 90*time.Second)
+	runs(t, w, long.Sub.ID, 1)
+	slowMoves(w)
+	w.Nodes[2].Start()
+	var after []*fake.Job
+	for n := range 60 {
+		s := job(600_000+n, protocol.Array, 1)
+		s.CPUs, s.MemoryGB, s.ImageGB = 0.05, 0.05, 0.01
+		after = append(after, accepted(t, w, s, 200*time.Millisecond, jobs[n], jobs[(n+60)%120], long))
+		w.Run(100 * time.Millisecond)
+		if n%20 == 19 {
+			if l := w.Leader(); l != nil {
+				l.Crash()
+				w.After(2*time.Second, l.Start)
+			}
+			w.Run(5 * time.Second)
+		}
+	}
+	w.Network = nil
+	pollFor(w, 120*time.Second)
+	notLogged(t, w, "a prerequisite is on no page")
+	check(t, w)
+	for _, j := range after {
+		if j.Told != protocol.StatusDone {
+			t.Errorf("%s is called %q", j.Sub.ID, j.Told)
+		}
+	}
+}
+
+// Jobs of several blocks end, the removal of their other blocks is lost again and again, and
+// the leader ends: no block is left whose job is only in the archive.
+func TestBlocksGoBeforeTheirJobIsArchived(t *testing.T) {
+	s := littleMemory()
+	s.State.TxnOps = 3
+	w := worldOf(t, s)
+	spare(t, w)
+	endsJobs(t, w, 100_000, 60)
+	w.HoldsWrites = true
+	writes := 0
+	w.Network = func(kind, _, _ string) fake.Fate {
+		f := fake.Well()
+		if kind == "write" {
+			writes++
+			f.LoseRequest = writes%3 == 0
+		}
+		return f
+	}
+	var jobs []*fake.Job
+	for n := range 24 {
+		sub := severalBlocks(800_000+n, protocol.Array)
+		sub.CPUs, sub.MemoryGB = 0.02, 0.02
+		jobs = append(jobs, w.Submit(sub, 300*time.Millisecond))
+		w.Run(500 * time.Millisecond)
+		if n%6 == 5 {
+			w.Leader().Crash()
+			w.Run(4 * time.Second)
+			for _, node := range w.Nodes {
+				if !node.Up {
+					node.Start()
+				}
+			}
+			w.Run(2 * time.Second)
+		}
+	}
+	pollFor(w, 40*time.Second)
+	w.Leader().Crash()
+	pollFor(w, 40*time.Second)
+	notLogged(t, w, "a block of an unknown job is dropped")
+	check(t, w)
+	for _, j := range jobs {
+		if j.Told != protocol.StatusDone {
+			t.Errorf("%s is called %q", j.Sub.ID, j.Told)
+		}
+	}
+}
--- /dev/null
+++ b/internal/storage/archive_test.go
@@ -0,0 +1,108 @@
+package storage
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"oakpick/internal/protocol"
+)
+
+// The first page with room is the one that a look at every page finds.
+func TestFirstPageWithRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var index roomIndex
+		rooms := []int{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			page := rapid.IntRange(0, len(rooms)).Draw(t, "page")
+			room := rapid.IntRange(noRoom, 100).Draw(t, "room")
+			if page == len(rooms) {
+				rooms = append(rooms, room)
+			}
+			rooms[page] = room
+			index.set(page, room)
+			size := rapid.IntRange(1, 100).Draw(t, "size")
+			want := -1
+			for i, r := range rooms {
+				if r >= size {
+					want = i
+					break
+				}
+			}
+			if got := index.first(size); got != want {
+				t.Fatalf("page %d for %d, not %d of %v", got, size, want, rooms)
+			}
+		}
+	})
+}
+
+// Pages that take a page's place hold every end once, in order, each before its page's bound
+// and not before the bound of the page before, and none is larger than allowed.
+func TestArchivePagesAreDivided(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfNDistinct(rapid.IntRange(0, 99_999), 0, 300, rapid.ID[int]).Draw(t, "ids")
+		p := &ArchivePage{Bound: LastBound, Version: 7}
+		var more []FinalRecord
+		for i, id := range ids {
+			r := FinalRecord{ID: fmt.Sprintf("wk-%d", id), Tasks: i}
+			if i%2 == 0 {
+				more = append(more, r)
+			} else {
+				p = p.With([]FinalRecord{r}, 1<<20)[0]
+			}
+		}
+		most := rapid.IntRange(300, 4000).Draw(t, "most")
+		pages := p.With(more, most)
+		count, low := 0, ""
+		for i, page := range pages {
+			if page.size() > most {
+				t.Fatalf("page %d takes %d, more than %d", i, page.size(), most)
+			}
+			if last := i == len(pages)-1; last != (page.Bound == LastBound) || last != (page.Version == 7) {
+				t.Fatalf("page %d of %d is bound by %q and has version %d", i, len(pages), page.Bound, page.Version)
+			}
+			if _, err := ReadArchivePage(protocol.Entry{Key: page.Key(), Value: protocol.Encode(&ArchiveValue{Finals: page.Finals})}); err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range page.Finals {
+				if r.ID < low {
+					t.Fatalf("%s is on the page behind %s", r.ID, low)
+				}
+				if found, ok := page.Final(r.ID); !ok || found != r {
+					t.Fatalf("%s is not found", r.ID)
+				}
+			}
+			count += len(page.Finals)
+			low = page.Bound
+		}
+		if count != len(ids) {
+			t.Fatalf("%d ends on the pages, not %d", count, len(ids))
+		}
+	})
+}
+
+// A page that no version writes is refused, with its key.
+func TestDamagedArchivePagesAreRefused(t *testing.T) {
+	key := ArchivePrefix + "wk-5"
+	for name, value := range map[string]any{
+		"no page":          "text",
+		"out of order":     ArchiveValue{Finals: []FinalRecord{{ID: "wk-2"}, {ID: "wk-1"}}},
+		"twice":            ArchiveValue{Finals: []FinalRecord{{ID: "wk-2"}, {ID: "wk-2"}}},
+		"behind its bound": ArchiveValue{Finals: []FinalRecord{{ID: "wk-6"}}},
+		"negative tasks":   ArchiveValue{Finals: []FinalRecord{{ID: "wk-2", Tasks: -1}}},
+		"no id":            ArchiveValue{Finals: []FinalRecord{{}}},
+	} {
+		p, err := ReadArchivePage(protocol.Entry{Key: key, Value: protocol.Encode(value)})
+		if err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+		if p.Bound != "wk-5" {
+			t.Errorf("%s: bound %q", name, p.Bound)
+		}
+		if name == "no page" && !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
