--- a/internal/coordination/archive_orderings_test.go
+++ b/internal/coordination/archive_orderings_test.go
@@ -42,7 +42,7 @@
 func TestReadThatCrossesAMove(t *testing.T) {
 	w := worldOf(t, littleMemory())
 	spare(t, w)
-	w.Nodes[2].Crash() // nothing is moved before it says that it reads the archive
+	w.Nodes[2].Crash()                   // nothing is moved before it says that it reads the archive
 	jobs := endsJobs(t, w, 100_000, 600) // more pages than a leader keeps
 	slowMoves(w)
 	w.Nodes[2].Start()
