--- a/internal/fake/live.go
+++ b/internal/fake/live.go
@@ -134,11 +134,7 @@
 func (w *World) OnMachines() int {
 	n := 0
 	for _, name := range w.workerNames {
-		for _, t := range w.Workers[name].tasks {
-			if t.on {
-				n++
-			}
-		}
+		n += w.Workers[name].onMachine()
 	}
 	return n
 }
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -54,7 +54,7 @@
 
 func (k *Worker) vanish() {
 	k.gone = true
-	k.w.TasksDied += len(k.tasks)
+	k.w.TasksDied += k.onMachine()
 	k.loseTasks()
 }
 
@@ -66,6 +66,17 @@
 	k.tasks = nil
 }
 
+// onMachine counts the tasks that are on the machine.
+func (k *Worker) onMachine() int {
+	n := 0
+	for _, t := range k.tasks {
+		if t.on {
+			n++
+		}
+	}
+	return n
+}
+
 // occupy notes that a task is on its machine from now on.
 func (k *Worker) occupy(t *work) {
 	t.on = true
@@ -122,7 +133,7 @@
 	}
 	if now-k.leaseFrom > sec(w.Cfg.Settings.Workers.Lease) {
 		k.session++
-		w.KilledByLease += len(k.tasks)
+		w.KilledByLease += k.onMachine()
 		k.loseTasks()
 		k.leaseFrom, k.images = now, map[string]time.Duration{}
 		k.nextReport = now
