--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -19,7 +19,7 @@
 	R2 float64 `json:"r2"`
 }
 
-// at is what the line says for a size, and the error of the slope there.
+// at is what the line says for a size.
 func (l Line) at(x float64) float64 { return l.Intercept + l.Slope*x }
 
 // fit draws a line by least squares; false: the points don't differ in x.
