Clean-up after reading the change: one piece of code where logic stood twice

Taking an item off its page, marking a page as being written, leaving a page of records to a later turn, the clock for rate limiters, serving a request from outside (which drew the network's fate twice), dividing ended jobs into pages, starting all controllers. A fault's length in leases is part of the faults' table, not a special case. A field nobody read is gone, and the count of jobs not accepted is named so. No assertion has changed.

--- a/internal/coordination/archive.go
+++ b/internal/coordination/archive.go
@@ -75,6 +75,12 @@
 	pressing = 2
 )
 
+// Why a request is refused.
+const (
+	damagedPage = "its page of ended jobs is damaged"
+	tooManyAsk  = "too many ended jobs are asked for"
+)
+
 func newArchive(e *engine) *archive {
 	share := e.n.cfg.Settings.State.Smallest().RPS * lookupShare
 	return &archive{
@@ -149,7 +155,7 @@
 	needs, damaged := a.lookUp(e.subjects(c), found)
 	switch {
 	case damaged:
-		e.n.refuse(c.ID, "its page of ended jobs is damaged")
+		e.n.refuse(c.ID, damagedPage)
 	case len(needs) == 0:
 		if earlier != nil && !earlier.waiting {
 			a.drop(earlier)
@@ -161,7 +167,7 @@
 		earlier.call, earlier.waiting, earlier.needs = c, true, needs
 		earlier.until = e.n.now.Mono + waitOf(c.Kind)
 	case !a.admits(c.Kind):
-		e.n.refuse(c.ID, "too many ended jobs are asked for")
+		e.n.refuse(c.ID, tooManyAsk)
 	default:
 		now := e.n.now.Mono
 		a.asks = append(a.asks, &ask{call: c, waiting: true, until: now + waitOf(c.Kind), forget: now + 2*e.rules.lease, needs: needs, found: found})
@@ -190,9 +196,7 @@
 }
 
 func (a *archive) drop(x *ask) {
-	if x != nil {
-		a.asks = slices.DeleteFunc(a.asks, func(y *ask) bool { return x == y })
-	}
+	a.asks = slices.DeleteFunc(a.asks, func(y *ask) bool { return x == y })
 }
 
 // admits tells whether one more request may wait. Polls leave room for submissions and
@@ -219,7 +223,7 @@
 		return false
 	}
 	a.drop(polls[drawn])
-	n.refuse(polls[drawn].call.ID, "too many ended jobs are asked for")
+	n.refuse(polls[drawn].call.ID, tooManyAsk)
 	return true
 }
 
@@ -255,7 +259,7 @@
 // send reads the page of a job.
 func (a *archive) send(id string) {
 	n := a.e.n
-	if !a.budget.AllowN(time.Unix(1, 0).Add(n.now.Mono), 1) {
+	if !a.budget.AllowN(n.now.forLimiter(), 1) {
 		return
 	}
 	a.read = &archiveRead{id: id, changes: a.changes}
@@ -312,7 +316,7 @@
 		case damaged:
 			a.drop(x)
 			if x.waiting {
-				e.n.refuse(x.call.ID, "its page of ended jobs is damaged")
+				e.n.refuse(x.call.ID, damagedPage)
 			}
 		case len(x.needs) == 0 && x.waiting && e.n.certain():
 			a.drop(x)
--- a/internal/coordination/archive_move.go
+++ b/internal/coordination/archive_move.go
@@ -149,7 +149,7 @@
 	}
 	chosen = slices.DeleteFunc(chosen, func(x storage.Item) bool { return !gone[x.(*final).ID] })
 	if len(chosen) == 0 {
-		a.sources = (a.sources + 1) % max(1, e.store.Pages())
+		a.skipSource()
 		return
 	}
 	var w *storage.Write
@@ -158,7 +158,7 @@
 	}))
 	if w == nil {
 		a.retryAt = e.n.now.Mono + e.rules.retry
-		a.sources = (a.sources + 1) % max(1, e.store.Pages())
+		a.skipSource()
 		return
 	}
 	for _, item := range chosen {
@@ -167,6 +167,12 @@
 	e.send(w)
 }
 
+// skipSource leaves the page of records that is being looked at to a later turn: what is on
+// it can't be moved now.
+func (a *archive) skipSource() {
+	a.sources = (a.sources + 1) % max(1, a.e.store.Pages())
+}
+
 // moved notes that a move is durable: from now on the jobs are looked up.
 func (a *archive) moved(chosen []storage.Item, pages []*storage.ArchivePage, lows map[string]string, version int64) {
 	e := a.e
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -70,7 +70,7 @@
 		f.budget = rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps)))
 		f.calls = map[uint64]cloudCall{}
 	}
-	if now < f.back || len(f.calls) >= config.CloudCalls || !f.budget.AllowN(time.Unix(1, 0).Add(now), 1) {
+	if now < f.back || len(f.calls) >= config.CloudCalls || !f.budget.AllowN(e.n.now.forLimiter(), 1) {
 		return false
 	}
 	c.ID = e.n.id()
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -14,6 +14,9 @@
 	WallMs int64
 }
 
+// forLimiter is the steady clock as rate limiters take it.
+func (n Now) forLimiter() time.Time { return time.Unix(1, 0).Add(n.Mono) }
+
 // Outcome is how a call to another component ended.
 type Outcome = storage.Outcome
 
--- a/internal/fake/live.go
+++ b/internal/fake/live.go
@@ -68,35 +68,31 @@
 // ServeState executes a request to the state service, and answers it unless the network
 // keeps that from happening.
 func (w *World) ServeState(c storage.StateCall, answer func(storage.StateResult)) {
-	w.exchange("state", "", "state", func() {
-		r := w.State.execute("", false, c)
-		w.After(w.fate("state", "state", "").Answer, func() { answer(r) })
-	})
+	serve(w, "state", "state", func() (storage.StateResult, bool) { return w.State.Execute(c), true }, answer)
 }
 
 // ServeCloud executes a request to the cloud.
 func (w *World) ServeCloud(c coordination.CloudCall, answer func(coordination.CloudResult)) {
-	w.exchange("cloud", "", "cloud", func() {
-		r := w.Cloud.execute(c)
-		w.After(w.fate("cloud", "cloud", "").Answer, func() { answer(r) })
-	})
+	serve(w, "cloud", "cloud", func() (coordination.CloudResult, bool) { return w.Cloud.execute(c), true }, answer)
 }
 
 // ServeOrders has a worker execute direct commands. A machine without power, one that
 // hangs or one that is cut off answers nothing.
 func (w *World) ServeOrders(c coordination.OrdersCall, answer func(coordination.OrdersResult)) {
-	w.exchange("orders", "", c.Host, func() {
-		if r, answered := w.command(c); answered {
-			answer(r)
-		}
-	})
+	serve(w, "orders", c.Host, func() (coordination.OrdersResult, bool) { return w.command(c) }, answer)
 }
 
-func (w *World) exchange(kind, from, to string, execute func()) {
-	f := w.fate(kind, from, to)
-	if !f.LoseRequest {
-		w.After(f.Request, execute)
+// serve has a request from outside executed and answered as the network will.
+func serve[R any](w *World, kind, to string, execute func() (R, bool), answer func(R)) {
+	f := w.fate(kind, "", to)
+	if f.LoseRequest {
+		return
 	}
+	w.After(f.Request, func() {
+		if r, answered := execute(); answered && !f.LoseAnswer {
+			w.After(f.Answer, func() { answer(r) })
+		}
+	})
 }
 
 // command has a worker execute direct commands, when it resumes if it hangs.
--- a/internal/scale/carrier.go
+++ b/internal/scale/carrier.go
@@ -141,3 +141,12 @@
 		Status: res.StatusCode(), Body: append([]byte(nil), res.Body()...), RetryAfter: retryAfter(res),
 	}
 }
+
+// retryAfter reads a header of an answer to a user.
+func retryAfter(res *fasthttp.Response) int {
+	seconds, err := strconv.Atoi(string(res.Header.Peek("Retry-After")))
+	if err != nil {
+		return 0 // none was given
+	}
+	return seconds
+}
--- a/internal/scale/controllers.go
+++ b/internal/scale/controllers.go
@@ -116,6 +116,16 @@
 	return nil
 }
 
+// startAll starts every controller's process.
+func (c *controllers) startAll() error {
+	for i := range c.processes {
+		if err := c.start(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *controllers) process(i int) *process {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/scale/faults.go
+++ b/internal/scale/faults.go
@@ -4,13 +4,16 @@
 	"context"
 	"fmt"
 	"time"
+
+	"oakpick/internal/config"
 )
 
 // fault is a trouble: what it does, and for how long until it is undone.
 type fault struct {
-	begin func(*play) error
-	lasts time.Duration
-	end   func(*play) error
+	begin  func(*play) error
+	lasts  time.Duration
+	leases float64 // how much longer it lasts, in workers' leases
+	end    func(*play) error
 }
 
 // How long and how far faults go.
@@ -39,14 +42,7 @@
 	"all-controllers": {
 		begin: func(y *play) error { y.controllers.killAll(); return nil },
 		lasts: restartDelay,
-		end: func(y *play) error {
-			for i := range y.p.Controllers {
-				if err := y.controllers.start(i); err != nil {
-					return err
-				}
-			}
-			return nil
-		},
+		end:   func(y *play) error { return y.controllers.startAll() },
 	},
 	"state": {
 		begin: func(y *play) error { y.loop.wait(func() { y.world.State.Outage(true) }); return nil },
@@ -64,8 +60,8 @@
 			})
 			return nil
 		},
-		lasts: 0, // a lease and a half, see lasting
-		end:   func(y *play) error { y.loop.wait(func() { clear(y.cut) }); return nil },
+		leases: 1.5,
+		end:    func(y *play) error { y.loop.wait(func() { clear(y.cut) }); return nil },
 	},
 	"rack": {
 		begin: func(y *play) error {
@@ -100,11 +96,8 @@
 }
 
 // lasting is how long a fault lasts with these settings.
-func (y *play) lasting(name string) time.Duration {
-	if name == "cut" {
-		return time.Duration(1.5 * y.p.LeaseS * float64(time.Second))
-	}
-	return faults[name].lasts
+func (y *play) lasting(f fault) time.Duration {
+	return f.lasts + config.Seconds(f.leases*y.p.LeaseS)
 }
 
 // faults injects the faults one after the other.
@@ -132,7 +125,7 @@
 	if err := f.begin(y); err != nil {
 		return nil, fmt.Errorf("fault %s: %w", name, err)
 	}
-	if err := y.sleep(ctx, "fault "+name, y.lasting(name)); err != nil {
+	if err := y.sleep(ctx, "fault "+name, y.lasting(f)); err != nil {
 		return nil, err
 	}
 	if err := f.end(y); err != nil {
--- a/internal/scale/meter.go
+++ b/internal/scale/meter.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -61,11 +62,7 @@
 func (m *meter) answers() map[string]int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := map[string]int64{}
-	for what, n := range m.statuses {
-		out[what] = n
-	}
-	return out
+	return maps.Clone(m.statuses)
 }
 
 // countedConn counts the bytes of a connection, both ways.
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -49,9 +49,9 @@
 	StateBytes      int     `json:"state_bytes"`
 	StateWritesPerS float64 `json:"state_writes_per_s"`
 
-	Times    map[string]latency.Summary `json:"times"`
-	Answers  map[string]int64           `json:"answers"`
-	TasksDue int                        `json:"jobs_not_accepted"`
+	Times           map[string]latency.Summary `json:"times"`
+	Answers         map[string]int64           `json:"answers"`
+	JobsNotAccepted int                        `json:"jobs_not_accepted"`
 
 	windows []window
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	y := newPlay(p.step(part), command, dir, progress)
-	if err := y.open(); err != nil {
+	if err := y.servers.open(y.controllers.addresses); err != nil {
 		y.servers.close()
 		return err
 	}
@@ -69,10 +69,8 @@
 		<-y.loop.over
 		y.servers.close()
 	}()
-	for i := range p.Controllers {
-		if err := y.controllers.start(i); err != nil {
-			return err
-		}
+	if err := y.controllers.startAll(); err != nil {
+		return err
 	}
 	go y.probe(ctx)
 	y.loop.do(y.workload.begin)
@@ -110,8 +108,6 @@
 // mostListed is how many entries the state service lists at a time.
 const mostListed = 1000
 
-func (y *play) open() error { return y.servers.open(newAddresses()) }
-
 // The latencies of the components outside, beside those of the machine itself.
 const (
 	stateTook    = 6 * time.Millisecond
--- a/internal/scale/sample.go
+++ b/internal/scale/sample.go
@@ -36,20 +36,20 @@
 
 // window is what was between two samples.
 type window struct {
-	seconds, workers, running, starts float64
-	cores                             []float64
-	usage                             []Usage
-	messages, bytes                   map[kind]float64 // a second
-	handled                           map[string]float64
-	puts                              float64
-	leader                            int
-	sameLeader                        bool
+	workers, running, starts float64
+	cores                    []float64
+	usage                    []Usage
+	messages, bytes          map[kind]float64 // a second
+	handled                  map[string]float64
+	puts                     float64
+	leader                   int
+	sameLeader               bool
 }
 
 func between(a, b sample) window {
 	s := b.at.Sub(a.at).Seconds()
 	w := window{
-		seconds: s, workers: float64(a.workers+b.workers) / 2, running: float64(a.tasks+b.tasks) / 2,
+		workers: float64(a.workers+b.workers) / 2, running: float64(a.tasks+b.tasks) / 2,
 		starts: float64(b.starts-a.starts) / s, usage: b.usage, puts: float64(b.puts-a.puts) / s,
 		messages: map[kind]float64{}, bytes: map[kind]float64{}, handled: map[string]float64{},
 		leader: b.leader, sameLeader: a.leader == b.leader && b.leader >= 0,
@@ -92,7 +92,7 @@
 		r.StateKeys, r.StateBytes = y.world.State.Size()
 		for _, j := range y.workload.jobs {
 			if !j.Accepted && y.world.Now-j.SubmittedAt > overdue {
-				r.TasksDue++
+				r.JobsNotAccepted++
 			}
 		}
 	})
--- a/internal/scale/servers.go
+++ b/internal/scale/servers.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -278,12 +277,3 @@
 		respond(ctx, http.StatusOK, map[string]string{})
 	}
 }
-
-// retryAfter reads a header of an answer to a user.
-func retryAfter(res *fasthttp.Response) int {
-	seconds, err := strconv.Atoi(string(res.Header.Peek("Retry-After")))
-	if err != nil {
-		return 0 // none was given
-	}
-	return seconds
-}
--- a/internal/scale/workload.go
+++ b/internal/scale/workload.go
@@ -209,32 +209,34 @@
 
 // archivedPages are the pages of an archive of so many ended jobs.
 func archivedPages(count int, valueKB float64) map[string][]byte {
-	each := endedEach(valueKB)
 	pages := map[string][]byte{}
-	for first := 0; first < count; first += each {
-		value := storage.ArchiveValue{ID: "0-0"}
-		for i := first; i < min(first+each, count); i++ {
-			value.Finals = append(value.Finals, endedRecord(archivedPrefix, i))
-		}
-		bound := endedRecord(archivedPrefix, first+each).ID
-		if first+each >= count {
-			bound = storage.LastBound
+	eachEndedPage(archivedPrefix, count, valueKB, func(end int, finals []storage.FinalRecord) {
+		bound := storage.LastBound
+		if end < count {
+			bound = endedRecord(archivedPrefix, end).ID
 		}
-		pages[storage.ArchivePrefix+bound] = protocol.Encode(value)
-	}
+		pages[storage.ArchivePrefix+bound] = protocol.Encode(storage.ArchiveValue{ID: "0-0", Finals: finals})
+	})
 	return pages
 }
 
 // endedPages are the pages of a state service that has so many ended jobs on record.
 func endedPages(count int, valueKB float64) map[string][]byte {
-	each := endedEach(valueKB)
 	pages := map[string][]byte{}
+	eachEndedPage(endedPrefix, count, valueKB, func(_ int, finals []storage.FinalRecord) {
+		pages[fmt.Sprintf("%s%06d", storage.Prefix, len(pages))] = protocol.Encode(storage.PageValue{ID: "0-0", Finals: finals})
+	})
+	return pages
+}
+
+// eachEndedPage divides so many ended jobs into pages; end is the number behind a page's last.
+func eachEndedPage(prefix string, count int, valueKB float64, page func(end int, finals []storage.FinalRecord)) {
+	each := endedEach(valueKB)
 	for first := 0; first < count; first += each {
-		value := storage.PageValue{ID: "0-0"}
+		var finals []storage.FinalRecord
 		for i := first; i < min(first+each, count); i++ {
-			value.Finals = append(value.Finals, endedRecord(endedPrefix, i))
+			finals = append(finals, endedRecord(prefix, i))
 		}
-		pages[fmt.Sprintf("%s%06d", storage.Prefix, len(pages))] = protocol.Encode(value)
+		page(first+len(finals), finals)
 	}
-	return pages
 }
--- a/internal/storage/archive.go
+++ b/internal/storage/archive.go
@@ -39,8 +39,8 @@
 // Key is the page's in the state service.
 func (p *ArchivePage) Key() string { return ArchivePrefix + p.Bound }
 
-// ReadArchivePage decodes a page of the archive and checks it. Without an error its bound is
-// right, also if the rest is damaged.
+// ReadArchivePage decodes a page of the archive and checks it. Its bound is right also if
+// the rest is damaged and there is an error.
 func ReadArchivePage(entry protocol.Entry) (*ArchivePage, error) {
 	p := &ArchivePage{Bound: strings.TrimPrefix(entry.Key, ArchivePrefix), Version: entry.Version}
 	var v ArchiveValue
@@ -161,9 +161,7 @@
 		return nil // the page has to be divided first, or fewer pages are to be written
 	}
 	for _, item := range items {
-		delete(s.pageOf, item)
-		p.remove(item)
-		p.reserved -= s.reserve(item)
+		s.takeOff(p, item)
 	}
 	s.budget.AllowN(at(now), 1+len(pages))
 	wait.pending++
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -158,11 +158,16 @@
 	if p == nil {
 		return
 	}
+	s.takeOff(p, item)
+	s.markDirty(now, p, w)
+}
+
+// takeOff takes an item off its page.
+func (s *Store) takeOff(p *page, item Item) {
 	delete(s.pageOf, item)
 	p.remove(item)
 	p.reserved -= s.reserve(item)
 	s.indexRoom(p)
-	s.markDirty(now, p, w)
 }
 
 func (s *Store) newPage() *page {
@@ -181,6 +186,12 @@
 	s.room.set(p.number, s.limits.PageBytes-p.reserved)
 }
 
+// setInFlight notes that a page is part of a transaction under way, or no longer.
+func (s *Store) setInFlight(p *page, inFlight bool) {
+	p.inFlight = inFlight
+	s.indexRoom(p)
+}
+
 func (s *Store) markDirty(now time.Duration, p *page, w *CommitWait) {
 	patience := soonRetries
 	if w != nil {
@@ -297,8 +308,7 @@
 	w.Txn.If = append(w.Txn.If, term)
 	if w.guard != nil {
 		w.Txn.If = append(w.Txn.If, protocol.Condition{Key: w.guard.key(), Version: w.guard.version})
-		w.guard.inFlight = true
-		s.indexRoom(w.guard)
+		s.setInFlight(w.guard, true)
 	}
 	for _, p := range w.pages {
 		w.Txn.If = append(w.Txn.If, protocol.Condition{Key: p.key(), Version: p.version})
@@ -308,8 +318,8 @@
 			w.Txn.Then = append(w.Txn.Then, protocol.Change{Put: p.key(), Value: p.value(w.ID)})
 		}
 		w.waits = append(w.waits, p.waits)
-		p.dirty, p.inFlight, p.waits = false, true, nil
-		s.indexRoom(p)
+		p.dirty, p.waits = false, nil
+		s.setInFlight(p, true)
 	}
 	w.fillArchive()
 	s.dirty = slices.DeleteFunc(s.dirty, func(p *page) bool { return !p.dirty })
@@ -323,16 +333,15 @@
 	s.stalled = nil
 	s.writes = slices.DeleteFunc(s.writes, func(x *Write) bool { return x == w })
 	if w.guard != nil {
-		w.guard.inFlight = false
-		s.indexRoom(w.guard)
+		s.setInFlight(w.guard, false)
 	}
 	w.Version = version
 	for _, p := range w.pages {
-		p.version, p.inFlight = version, false
+		p.version = version
 		if p.dropped {
 			p.version, p.dropped = 0, false
 		}
-		s.indexRoom(p)
+		s.setInFlight(p, false)
 	}
 	for _, waits := range w.waits {
 		for _, wait := range waits {
