Lookups in the archive don't wait for moves that come to nothing

Cause: one time held back both reads for users and moves. With more ended jobs than are kept, all of them named by a job that waits, there was nothing to move, and for a report's length after each look users who asked for archived jobs were kept waiting and got 503 (found when the change was read once more). Change: moves have a time of their own, also after one that found no page to write, which was tried again in every step. TestNothingToMoveKeepsNobodyFromTheArchive fails without it.

--- a/internal/coordination/archive.go
+++ b/internal/coordination/archive.go
@@ -21,8 +21,9 @@
 	exists  bool // something is in it
 	cache   []*archivePage
 	asks    []*ask
-	read    *archiveRead // one at a time, so never two of a page
-	retryAt time.Duration
+	read    *archiveRead  // one at a time, so never two of a page
+	retryAt time.Duration // no read before, after one that failed
+	moveAt  time.Duration // no move before; reads for users don't wait for that
 	budget  *rate.Limiter
 	changes int // moves that were committed
 
--- a/internal/coordination/archive_move.go
+++ b/internal/coordination/archive_move.go
@@ -17,7 +17,7 @@
 	e := a.e
 	items := a.source()
 	if len(items) == 0 {
-		a.retryAt = e.n.now.Mono + e.rules.report
+		a.moveAt = e.n.now.Mono + e.rules.report
 		return
 	}
 	room := e.store.MoveRoom()
@@ -50,7 +50,7 @@
 	if ended <= e.rules.endedKept || len(a.moving) > 0 || e.raising != nil || e.drain {
 		return false
 	}
-	if n.cfg.Settings.State.Smallest().TxnOps < moveLeast || now < a.retryAt {
+	if n.cfg.Settings.State.Smallest().TxnOps < moveLeast || now < max(a.retryAt, a.moveAt) {
 		return false
 	}
 	if ended > pressing*e.rules.endedKept {
@@ -157,7 +157,6 @@
 		a.moved(chosen, pages, lows, w.Version)
 	}))
 	if w == nil {
-		a.retryAt = e.n.now.Mono + e.rules.retry
 		a.skipSource()
 		return
 	}
@@ -168,8 +167,9 @@
 }
 
 // skipSource leaves the page of records that is being looked at to a later turn: what is on
-// it can't be moved now.
+// it can't be moved now, and needn't be looked at again in the next step.
 func (a *archive) skipSource() {
+	a.moveAt = a.e.n.now.Mono + a.e.rules.retry
 	a.sources = (a.sources + 1) % max(1, a.e.store.Pages())
 }
 
--- a/internal/coordination/archive_orderings_test.go
+++ b/internal/coordination/archive_orderings_test.go
@@ -145,3 +145,32 @@
 		}
 	}
 }
+
+// More ended jobs than are kept, and none of them may be moved since a job that waits names
+// them all: that there is nothing to move doesn't keep users from the archive.
+func TestNothingToMoveKeepsNobodyFromTheArchive(t *testing.T) {
+	w, jobs := withArchive(t, 600)
+	long := w.Submit(job(50, protocol.Array, 1), time.Hour)
+	runs(t, w, long.Sub.ID, 1)
+	needs := []*fake.Job{long}
+	for n := range keptWithLittleMemory + 8 {
+		s := job(700_000+n, protocol.Array, 1)
+		s.CPUs, s.MemoryGB, s.ImageGB = 0.05, 0.05, 0.01
+		needs = append(needs, w.Submit(s, 12*time.Second))
+	}
+	accepted(t, w, job(51, protocol.Array, 1), time.Second, needs...)
+	pollFor(w, 40*time.Second)
+	if pages, _ := placesOf(t, w); len(pages) <= keptWithLittleMemory {
+		t.Fatalf("%d ended jobs are on pages, which may be moved", len(pages))
+	}
+	leader := w.Leader()
+	for n := 0; n < len(jobs); n += 15 {
+		status := 0
+		leader.Ask(coordination.UserCall{Kind: coordination.Poll, Job: jobs[n].Sub.ID}, func(r coordination.Reply) { status = r.Status })
+		w.Run(300 * time.Millisecond)
+		if status != 200 {
+			t.Errorf("%s: %d after 0.3 s", jobs[n].Sub.ID, status)
+		}
+	}
+	check(t, w)
+}
