No fixed limit below 4,000 machines

Need: users run oakpick at about 4,000 machines. sample was at most 1,000, moves_per_min at most 6,000 while its default is 6 x write_rps, so that above 1,000 written keys a second no figure could be changed at all. The scale run's sockets, memory and users' connections were figures for 2,400 workers.

--- a/internal/config/budget_test.go
+++ b/internal/config/budget_test.go
@@ -34,3 +34,19 @@
 		t.Error("five controllers can't do with 48 sockets")
 	}
 }
+
+// With the least memory and sockets that the capacity page names for them, 4,000 workers and
+// 500 users have a connection each, and commands have some beside them.
+func TestSocketsHoldALargeFleet(t *testing.T) {
+	const workers, users = 4000, 500
+	for _, size := range []int{3, 5} {
+		s := Settings{Size: size, Limits: Limits{MaxConnections: 4900, MemMB: 225}}
+		k := s.Sockets()
+		if k.Front < workers+users {
+			t.Errorf("%d controllers: %d connections for %d workers and %d users", size, k.Front, workers, users)
+		}
+		if n := k.CommandsNow(workers + users); n < workers/20 {
+			t.Errorf("%d controllers: %d connections for commands", size, n)
+		}
+	}
+}
--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -16,16 +16,17 @@
 	"oakpick/internal/storage"
 )
 
-// Options are the figures that operators may change while it runs.
+// Options are the figures that operators may change while it runs. Their ranges keep out
+// what makes no sense; none of them bounds the size of a fleet.
 type Options struct {
 	WriteShare   float64 `json:"write_share" validate:"gte=0.05,lte=0.95"`
-	Sample       int     `json:"sample" validate:"gte=1,lte=1000"`
+	Sample       int     `json:"sample" validate:"gte=1,lte=1000000"`
 	IdleS        float64 `json:"idle_s" validate:"gte=0,lte=86400"`
 	WarmRoom     float64 `json:"warm_room" validate:"gte=0,lte=20"`
 	PreemptMostS float64 `json:"preempt_most_s" validate:"gte=0,lte=1000000"`
 	GiveUpBoots  float64 `json:"give_up_boots" validate:"gte=1.5,lte=1000"`
 	TakeoverS    float64 `json:"takeover_wait_s" validate:"gte=0,lte=3600"`
-	MovesPerMin  float64 `json:"moves_per_min" validate:"gte=0,lte=6000"`
+	MovesPerMin  float64 `json:"moves_per_min" validate:"gte=0,lte=60000000"`
 }
 
 // DefaultOptions derives them from the settings.
--- a/internal/scale/carrier.go
+++ b/internal/scale/carrier.go
@@ -35,13 +35,12 @@
 const (
 	reportWait  = 4 * time.Second
 	connectWait = 500 * time.Millisecond
-	userConns   = 400
 )
 
-func newCarrier(l *loop, m *meter, fronts []string, times *answerTimes) *carrier {
+func newCarrier(l *loop, m *meter, fronts []string, userConnections int, times *answerTimes) *carrier {
 	c := &carrier{loop: l, meter: m, fronts: fronts, workers: map[string]*workerLink{}, times: times}
 	for _, addr := range fronts {
-		c.users = append(c.users, c.client(addr, "", kindUser, userConns))
+		c.users = append(c.users, c.client(addr, "", kindUser, userConnections))
 	}
 	return c
 }
--- a/internal/scale/parameters.go
+++ b/internal/scale/parameters.go
@@ -22,8 +22,8 @@
 // Parameters are the size of a run at its full step, and how it is played. The tags hold
 // their names on the command line, their ranges and their meaning.
 type Parameters struct {
-	Workers      int     `name:"workers" default:"2400" validate:"gte=2,lte=20000" help:"Machines that can be rented."`
-	Accelerators int     `name:"accelerators" default:"4000" validate:"gte=0,lte=100000" help:"Accelerators among them, eight to a machine."`
+	Workers      int     `name:"workers" default:"2400" validate:"gte=2,lte=60000" help:"Machines that can be rented."`
+	Accelerators int     `name:"accelerators" default:"4000" validate:"gte=0,lte=480000" help:"Accelerators among them, eight to a machine."`
 	Running      int     `name:"running" default:"26000" validate:"gte=2,lte=200000" help:"Tasks running at a time."`
 	Starts       float64 `name:"starts" default:"980" validate:"gt=0,lte=20000" help:"Task starts a second."`
 	Jobs         float64 `name:"jobs" default:"3.2" validate:"gt=0,lte=1000" help:"Arrays a second, which the starts are shared out to."`
@@ -52,12 +52,14 @@
 	WriteRPS float64 `name:"state-write-rps" default:"80" validate:"gte=1,lte=100000" help:"Keys a second that may be written there."`
 	ValueKB  float64 `name:"state-value-kb" default:"8" validate:"gte=1,lte=64" help:"Largest value there, in KiB."`
 	CPU      float64 `name:"cpu" default:"0.516" validate:"gt=0,lte=64" help:"Share of a core in the controllers' settings. It is not enforced here, only compared with."`
-	MemMB    float64 `name:"mem-mb" default:"531" validate:"gte=32,lte=100000" help:"Memory in the controllers' settings."`
-	Sockets  int     `name:"sockets" default:"6000" validate:"gte=64,lte=100000" help:"Sockets in the controllers' settings."`
+	MemMB    float64 `name:"mem-mb" default:"0" validate:"omitempty,gte=32,lte=100000" help:"Memory in the controllers' settings; 0: by --workers."`
+	Sockets  int     `name:"sockets" default:"0" validate:"omitempty,gte=64,lte=1000000" help:"Sockets in the controllers' settings; 0: by --workers."`
 }
 
-// Check names every parameter at fault, and what of the machine is too small for the rest.
+// Check derives what is not given, and names every parameter at fault and what of the machine
+// is too small for the rest.
 func (p *Parameters) Check() error {
+	p.derive()
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string { return "--" + f.Tag.Get("name") })
 	var problems []error
@@ -89,6 +91,30 @@
 	acceleratorsEach = 8
 )
 
+// The controllers' limits for each worker, where none are given, and the least of them.
+const (
+	socketsOfWorker = 2.5
+	memoryOfWorker  = 0.22125 // MB
+	leastSockets    = 400
+	leastMemory     = 128 // MB
+)
+
+// derive sets the controllers' limits that are not given, by the number of workers.
+func (p *Parameters) derive() {
+	if p.Sockets == 0 {
+		p.Sockets = max(leastSockets, int(socketsOfWorker*float64(p.Workers)))
+	}
+	if p.MemMB == 0 {
+		p.MemMB = max(leastMemory, memoryOfWorker*float64(p.Workers))
+	}
+}
+
+// userConnectionShare is the part of a controller's sockets that users may take.
+const userConnectionShare = 15
+
+// userConnections is how many connections the users keep to a controller.
+func (p *Parameters) userConnections() int { return max(1, p.Sockets/userConnectionShare) }
+
 // tooLarge says what the machine can't bear, and what would have to change.
 func (p *Parameters) tooLarge() (problems []error) {
 	var files syscall.Rlimit
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -86,7 +86,7 @@
 		names = append(names, controllerName(i))
 		fronts = append(fronts, a.front(i))
 	}
-	carrier := newCarrier(y.loop, y.meter, fronts, y.times)
+	carrier := newCarrier(y.loop, y.meter, fronts, p.userConnections(), y.times)
 	y.world = fake.NewLive(s, p.types(s.Zones), names, carrier.to)
 	y.loop.world = y.world
 	y.controllers = newControllers(command, a, s, dir)
