Distribution of weights: tracker, agents, simulation, scale run

Need: on January's sign-up morning the rush pool came up slowly, because every machine fetched the member assistant's weights from the store. Also: TOML settings checked in one place, one logger for the programs, prefixes mounted beside the peers' server, one way to start a process in the scale runs, one HTTP logger that says nothing, parameters checked in one place.

--- a/cmd/oakpick/main.go
+++ b/cmd/oakpick/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
 	"runtime/debug"
 	"strings"
@@ -13,22 +12,23 @@
 
 	"oakpick/internal/config"
 	"oakpick/internal/daemon"
+	"oakpick/internal/logging"
 )
 
 type serve struct{}
 
 func (serve) Run(cli *commandLine) error {
-	cfg, err := cli.load()
+	cfg, extensions, err := cli.load()
 	if err != nil {
 		return err
 	}
-	return daemon.Run(context.Background(), cfg, logger())
+	return daemon.Run(context.Background(), cfg, extensions, logging.New(os.Stderr))
 }
 
 type checkConfig struct{}
 
 func (checkConfig) Run(cli *commandLine) error {
-	cfg, err := cli.load()
+	cfg, _, err := cli.load()
 	if err != nil {
 		return err
 	}
@@ -48,29 +48,25 @@
 }
 
 type commandLine struct {
-	Config string `help:"Settings file (JSON) of this node." placeholder:"FILE"`
+	Config     string `help:"Settings file (JSON) of this node." placeholder:"FILE"`
+	Extensions string `help:"File (TOML) of what is to be switched on beyond the scheduler." placeholder:"FILE"`
 
 	Serve       serve       `cmd:"" default:"1" help:"Serve as a controller until killed (the default)."`
 	CheckConfig checkConfig `cmd:"" name:"check-config" help:"Check a settings file and name every problem."`
 	Version     version     `cmd:"" help:"Print the version."`
+	Weights     weights     `cmd:"" help:"Ask and steer the distribution of weights, through any controller."`
 }
 
-func (c *commandLine) load() (*config.Config, error) {
+func (c *commandLine) load() (*config.Config, config.Extensions, error) {
 	if c.Config == "" {
-		return nil, fmt.Errorf("--config FILE is missing")
+		return nil, config.Extensions{}, fmt.Errorf("--config FILE is missing")
 	}
-	return config.Load(c.Config)
-}
-
-func logger() *slog.Logger {
-	level := slog.LevelInfo
-	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
-	case "error":
-		level = slog.LevelError
-	case "debug":
-		level = slog.LevelDebug
+	cfg, err := config.Load(c.Config)
+	if err != nil || c.Extensions == "" {
+		return cfg, config.Extensions{}, err
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	extensions, err := config.LoadExtensions(c.Extensions, cfg)
+	return cfg, extensions, err
 }
 
 func main() {
--- /dev/null
+++ b/cmd/oakpick/weights.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/opencontainers/go-digest"
+
+	"oakpick/internal/distribution"
+	"oakpick/internal/distribution/operator"
+	"oakpick/internal/distribution/registry"
+)
+
+// weights are the commands about the distribution of weights.
+type weights struct {
+	Controller []string      `help:"Trackers' addresses (HOST:PORT) of one or more controllers; the first that answers is used." placeholder:"ADDRESS" required:""`
+	Timeout    time.Duration `help:"Give up after this time." default:"10s"`
+
+	List   weightsList   `cmd:"" help:"List all names with their manifests."`
+	Status weightsStatus `cmd:"" help:"Tell who holds what of a name, what is fetched from whom, and why agents wait."`
+	Use    weightsUse    `cmd:"" help:"Have a name refer to a manifest, given by digest or by a tag of the store."`
+}
+
+func (w *weights) client() (*operator.Client, context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), w.Timeout)
+	// Each controller has its part of the time, so that one that hangs doesn't take it all.
+	each := w.Timeout / time.Duration(len(w.Controller)+1)
+	return &operator.Client{Controllers: w.Controller, HTTP: http.Client{Timeout: each}}, ctx, cancel
+}
+
+type weightsList struct{}
+
+func (weightsList) Run(cli *commandLine) error {
+	client, ctx, cancel := cli.Weights.client()
+	defer cancel()
+	names, err := client.Names(ctx)
+	if err != nil {
+		return err
+	}
+	return operator.WriteNames(os.Stdout, names)
+}
+
+type weightsStatus struct {
+	Name string `arg:"" help:"Name of the weights."`
+}
+
+func (s weightsStatus) Run(cli *commandLine) error {
+	if err := distribution.CheckName(s.Name); err != nil {
+		return err
+	}
+	client, ctx, cancel := cli.Weights.client()
+	defer cancel()
+	status, err := client.Status(ctx, s.Name)
+	if err != nil {
+		return err
+	}
+	return operator.WriteStatus(os.Stdout, status)
+}
+
+type weightsUse struct {
+	Name     string `arg:"" help:"Name of the weights."`
+	Manifest string `help:"Digest of the manifest." placeholder:"DIGEST" xor:"version" required:""`
+	Tag      string `help:"Tag in the store instead; its manifest is fetched and verified." xor:"version" required:""`
+	Store    string `help:"The store's address, for --tag." placeholder:"ADDRESS"`
+}
+
+func (u weightsUse) Run(cli *commandLine) error {
+	if err := distribution.CheckName(u.Name); err != nil {
+		return err
+	}
+	client, ctx, cancel := cli.Weights.client()
+	defer cancel()
+	manifest, err := u.resolve(ctx, cli.Weights.Timeout)
+	if err != nil {
+		return err
+	}
+	record, err := client.Use(ctx, u.Name, manifest)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s is %s, revision %d\n", record.Name, record.Manifest, record.Revision)
+	return nil
+}
+
+// resolve gives the digest that was named, or that the store has for the tag.
+func (u weightsUse) resolve(ctx context.Context, wait time.Duration) (digest.Digest, error) {
+	if u.Tag == "" {
+		d := digest.Digest(u.Manifest)
+		if err := distribution.CheckDigest(d); err != nil {
+			return "", fmt.Errorf("--manifest: %w", err)
+		}
+		return d, nil
+	}
+	if u.Store == "" {
+		return "", fmt.Errorf("--store ADDRESS is missing, where --tag is looked up")
+	}
+	if err := distribution.CheckReference(u.Tag); err != nil {
+		return "", fmt.Errorf("--tag: %w", err)
+	}
+	store := registry.NewClient(wait, nil, nil)
+	defer store.Close()
+	m, err := store.Resolve(ctx, u.Store, u.Name, u.Tag)
+	if err != nil {
+		return "", err
+	}
+	return m.Digest, nil
+}
--- a/internal/config/budget.go
+++ b/internal/config/budget.go
@@ -37,7 +37,7 @@
 }
 
 func (s *Settings) ownSockets() int {
-	return StateCalls + StateRenewals + StateLookups + CloudCalls + perPeer*(s.Size-1) + spare
+	return StateCalls + StateRenewals + StateLookups + CloudCalls + perPeer*(s.Size-1) + spare + s.ExtensionSockets
 }
 
 // CommandsNow is how many connections direct commands may take while the front
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"reflect"
 	"strings"
 	"time"
 
@@ -109,6 +108,9 @@
 	Cloud      Cloud       `json:"cloud"`
 	Limits     Limits      `json:"limits"`
 	ClockError float64     `json:"clock_error_ms" validate:"gte=0,lte=3600000"`
+
+	// ExtensionSockets are those that extensions take; none unless a file switches one on.
+	ExtensionSockets int `json:"-"`
 }
 
 // Config is one node's settings file.
@@ -145,11 +147,7 @@
 		}
 		return nil, fmt.Errorf("settings: not JSON: %w", err)
 	}
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string {
-		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
-		return name
-	})
+	v := newValidator("json")
 	var problems []error
 	var fields validator.ValidationErrors
 	if err := v.Struct(&c); errors.As(err, &fields) {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"oakpick/internal/config"
 	"oakpick/internal/protocol"
@@ -162,5 +163,25 @@
 	return "follower"
 }
 
+// TermView is what parts beside the node have to know of its term.
+type TermView struct {
+	Reign  int64         // the version that the leader's key had when this node began to lead; 0: it doesn't
+	Token  int64         // the version now
+	Until  time.Duration // until when no other node can lead, by the steady clock
+	Leader string        // who leads, as far as is known; empty while this node does
+}
+
+// Term tells who leads.
+func (n *Node) Term() TermView {
+	if n.engine == nil {
+		v := TermView{}
+		if n.term.leader != n.cfg.Node {
+			v.Leader = n.term.leader
+		}
+		return v
+	}
+	return TermView{Reign: n.term.led, Token: n.term.own, Until: n.term.until}
+}
+
 // Leads tells whether the node holds, or still answers for, a term.
 func (n *Node) Leads() bool { return n.engine != nil }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -20,6 +21,8 @@
 
 	"oakpick/internal/config"
 	"oakpick/internal/coordination"
+	"oakpick/internal/distribution"
+	"oakpick/internal/protocol"
 	"oakpick/internal/storage"
 	"oakpick/internal/transport"
 )
@@ -53,13 +56,14 @@
 	peers   *transport.Peers
 	group   *errgroup.Group
 	ctx     context.Context
+	tracker *trackerService // nil: not switched on
 }
 
 const batch = 64
 
 // Run serves until the context ends or something that the process cannot do
 // without fails.
-func Run(ctx context.Context, cfg *config.Config, log *slog.Logger) error {
+func Run(ctx context.Context, cfg *config.Config, extensions config.Extensions, log *slog.Logger) error {
 	s := cfg.Settings
 	runtime.GOMAXPROCS(max(1, int(s.Limits.CPU)))
 	debug.SetMemoryLimit(int64(s.Limits.MemMB * 0.7 * (1 << 20)))
@@ -94,7 +98,15 @@
 	sockets := s.Sockets()
 	fs := transport.NewFront(d, limit, sockets.Front, config.Seconds(s.Workers.Lease))
 	d.workers = transport.NewWorkers(s.Workers, func() int { return sockets.CommandsNow(fs.Open()) })
-	ps := transport.NewPeerServer(d, limit, newAdmin(d, limit))
+	mounted := map[string]http.Handler{protocol.PathAdmin: newAdmin(d, limit)}
+	if extensions.Distribution != nil {
+		if d.tracker, err = newTrackerService(d, extensions.Distribution, seed); err != nil {
+			return err
+		}
+		mounted[distribution.PathPrefix] = d.tracker.peerHandler()
+		d.tracker.start()
+	}
+	ps := transport.NewPeerServer(d, limit, mounted)
 	group.Go(func() error { return fs.Serve(front) })
 	group.Go(func() error { return ps.Serve(ctx, cluster, sockets.Front, 40*report) })
 	group.Go(func() error { d.own(); return nil })
@@ -172,6 +184,9 @@
 			d.dropWaits()
 		}
 		d.healthy.Store(d.node.Healthy())
+		if d.tracker != nil {
+			d.tracker.see(d.node.Term())
+		}
 	}
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -126,6 +126,12 @@
 }
 
 func newPair(t *testing.T) *pair {
+	t.Helper()
+	return newPairWith(t, config.Extensions{}, config.Extensions{})
+}
+
+// newPairWith has each of them switch something on.
+func newPairWith(t *testing.T, extensions ...config.Extensions) *pair {
 	t.Helper()
 	raw, err := os.ReadFile("../../testdata/settings.json")
 	if err != nil {
@@ -152,7 +158,7 @@
 		t.Cleanup(cancel)
 		p.end = append(p.end, cancel)
 		group.Go(func() {
-			if err := Run(ctx, &cfg, slog.New(slog.DiscardHandler)); err != nil {
+			if err := Run(ctx, &cfg, extensions[i], slog.New(slog.DiscardHandler)); err != nil {
 				t.Errorf("%s: %v", name, err)
 			}
 		})
--- /dev/null
+++ b/internal/distribution/agent/settings.go
@@ -0,0 +1,72 @@
+package agent
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"oakpick/internal/config"
+	"oakpick/internal/distribution"
+)
+
+// Settings are an agent's, as its file has them.
+type Settings struct {
+	Agent     string   `toml:"agent" validate:"required,max=128"`
+	Zone      string   `toml:"zone" validate:"required,max=128"`
+	Listen    string   `toml:"listen" validate:"required,hostname_port"`
+	Directory string   `toml:"directory" validate:"required"`
+	Trackers  []string `toml:"trackers" validate:"required,min=1,max=99,dive,hostname_port"`
+	Store     string   `toml:"store" validate:"omitempty,hostname_port"`
+	Names     []string `toml:"names" validate:"required,min=1,max=64"`
+
+	UploadSlots   int     `toml:"upload_slots" validate:"gte=0,lte=1024"`
+	Downloads     int     `toml:"downloads" validate:"gte=1,lte=1024"`
+	DiskBytes     int64   `toml:"disk_bytes" validate:"gte=0"`
+	MinimumRate   int64   `toml:"minimum_rate_bytes" validate:"gte=1"`
+	StallS        float64 `toml:"stall_s" validate:"gt=0,lte=3600"`
+	ReportS       float64 `toml:"report_s" validate:"gt=0,lte=3600"`
+	UploadBytes   int64   `toml:"upload_bytes_per_s" validate:"gte=0"`
+	DownloadBytes int64   `toml:"download_bytes_per_s" validate:"gte=0"`
+}
+
+// Defaults are the settings that a file need not give.
+func Defaults() Settings {
+	const mebibyte = 1 << 20
+	return Settings{UploadSlots: 4, Downloads: 8, MinimumRate: mebibyte, StallS: 10, ReportS: 2.5}
+}
+
+// LoadSettings reads and checks a settings file. Its error names every key at fault.
+func LoadSettings(path string) (Settings, error) {
+	s := Defaults()
+	err := config.LoadTOML(path, &s)
+	return s, errors.Join(err, s.check(path))
+}
+
+// check names what the tags can't.
+func (s *Settings) check(path string) error {
+	var problems []error
+	for i, n := range s.Names {
+		if distribution.CheckName(n) != nil {
+			problems = append(problems, fmt.Errorf("%s: names[%d]: %.40q is not a name of weights", path, i, n))
+		}
+	}
+	if s.Agent == distribution.StoreSource {
+		problems = append(problems, fmt.Errorf("%s: agent: %q is the store's name", path, s.Agent))
+	}
+	// Sources must not be blamed for what the own limit does.
+	if s.DownloadBytes > 0 && s.MinimumRate*int64(s.Downloads) > s.DownloadBytes {
+		problems = append(problems, fmt.Errorf("%s: minimum_rate_bytes: %d for each of %d downloads is more than download_bytes_per_s allows, %d",
+			path, s.MinimumRate, s.Downloads, s.DownloadBytes))
+	}
+	return errors.Join(problems...)
+}
+
+// core are the figures by which the agent decides.
+func (s *Settings) core(session int64, seed uint64) CoreSettings {
+	seconds := func(x float64) time.Duration { return config.Seconds(x) }
+	return CoreSettings{
+		Agent: s.Agent, Zone: s.Zone, Address: s.Listen, Session: session, Names: s.Names, Store: s.Store != "",
+		UploadSlots: s.UploadSlots, Downloads: s.Downloads, DiskBytes: s.DiskBytes, MinimumRate: s.MinimumRate,
+		Stall: seconds(s.StallS), Report: seconds(s.ReportS), Seed: seed,
+	}
+}
--- /dev/null
+++ b/internal/distribution/chunkstore/active.go
@@ -0,0 +1,142 @@
+package chunkstore
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net/url"
+	"path"
+
+	"github.com/opencontainers/go-digest"
+	"github.com/spf13/afero"
+
+	"oakpick/internal/distribution"
+)
+
+// PutManifest stores a manifest.
+func (s *Store) PutManifest(m *distribution.Manifest) error {
+	return s.replace(s.path(manifestsDir, m.Digest), m.Raw)
+}
+
+// Manifest reads a stored manifest. One that is damaged counts as not stored.
+func (s *Store) Manifest(d digest.Digest) (*distribution.Manifest, error) {
+	if err := distribution.CheckDigest(d); err != nil {
+		return nil, ErrUnknown
+	}
+	raw, err := afero.ReadFile(s.fs, s.path(manifestsDir, d))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, ErrUnknown
+	}
+	if err != nil {
+		return nil, &DiskError{err}
+	}
+	m, err := distribution.ParseManifest(raw, d)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	return m, nil
+}
+
+func (s *Store) activePath(name string) string {
+	return path.Join(s.root, activeDir, url.PathEscape(name)+".json")
+}
+
+// Activate makes a version the one that a name is served from, in one step. Every chunk of
+// it has to be stored.
+func (s *Store) Activate(name string, a distribution.ActiveVersion) error {
+	m, err := s.Manifest(a.Manifest)
+	if err != nil {
+		return err
+	}
+	for _, c := range m.Chunks {
+		info, err := s.fs.Stat(s.path(chunksDir, c.Digest))
+		if err != nil || info.Size() != c.Size {
+			return fmt.Errorf("chunk %s: %w", c.Digest, ErrUnknown)
+		}
+	}
+	text, err := json.Marshal(a)
+	if err != nil {
+		return err
+	}
+	return s.replace(s.activePath(name), text)
+}
+
+// Active is what a name is served from.
+func (s *Store) Active(name string) (distribution.ActiveVersion, error) {
+	text, err := afero.ReadFile(s.fs, s.activePath(name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return distribution.ActiveVersion{}, ErrUnknown
+	}
+	if err != nil {
+		return distribution.ActiveVersion{}, &DiskError{err}
+	}
+	var a distribution.ActiveVersion
+	if json.Unmarshal(text, &a) != nil || distribution.CheckDigest(a.Manifest) != nil {
+		return distribution.ActiveVersion{}, ErrUnknown
+	}
+	return a, nil
+}
+
+// VersionReader reads all bytes of one version. Its chunks aren't removed before it is closed.
+type VersionReader struct {
+	distribution.ActiveVersion
+	Size   int64
+	chunks []*ChunkFile
+	at     int
+}
+
+// OpenActive opens the version that a name is served from.
+func (s *Store) OpenActive(name string) (*VersionReader, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, err := s.Active(name)
+	if err != nil {
+		return nil, err
+	}
+	m, err := s.Manifest(a.Manifest)
+	if err != nil {
+		return nil, err
+	}
+	r := &VersionReader{ActiveVersion: a, Size: m.Size}
+	for _, c := range m.Chunks {
+		file, err := s.openLocked(c.Digest)
+		if err != nil {
+			r.closeLocked(s)
+			return nil, fmt.Errorf("chunk %s: %w", c.Digest, err)
+		}
+		r.chunks = append(r.chunks, file)
+	}
+	return r, nil
+}
+
+// closeLocked closes what was opened so far, by a caller that holds the store's lock.
+func (r *VersionReader) closeLocked(s *Store) {
+	s.mu.Unlock()
+	_ = r.Close() // nothing was read
+	s.mu.Lock()
+}
+
+func (r *VersionReader) Read(p []byte) (int, error) {
+	for r.at < len(r.chunks) {
+		n, err := r.chunks[r.at].Read(p)
+		if n > 0 || !errors.Is(err, io.EOF) {
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+			return n, err
+		}
+		r.at++
+	}
+	return 0, io.EOF
+}
+
+// Close lets the chunks be removed.
+func (r *VersionReader) Close() error {
+	var problems []error
+	for _, c := range r.chunks {
+		problems = append(problems, c.Close())
+	}
+	return errors.Join(problems...)
+}
--- /dev/null
+++ b/internal/distribution/manifest.go
@@ -0,0 +1,156 @@
+// Package distribution holds what trackers, agents and stores of weights share: manifests,
+// sets of chunks, and the messages between agents and the tracker, with their validation.
+package distribution
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+
+	"github.com/opencontainers/go-digest"
+	specs "github.com/opencontainers/image-spec/specs-go/v1"
+)
+
+const (
+	// MaxManifestBytes is the largest manifest that is read, as registries commonly allow.
+	MaxManifestBytes = 4 << 20
+	// MaxVersionBytes is the most that the chunks of one manifest may add up to.
+	MaxVersionBytes = 1 << 50
+
+	schemaVersion = 2
+)
+
+// FieldError names the field of a message that is at fault.
+type FieldError struct {
+	Field   string
+	Problem string
+}
+
+func (e *FieldError) Error() string { return e.Field + ": " + e.Problem }
+
+func fieldError(field, format string, args ...any) error {
+	return &FieldError{Field: field, Problem: fmt.Sprintf(format, args...)}
+}
+
+// Chunk is a part of a version's bytes.
+type Chunk struct {
+	Digest digest.Digest
+	Size   int64
+}
+
+// Manifest lists the chunks of one version in their order.
+type Manifest struct {
+	Digest digest.Digest
+	Raw    []byte // as it was fetched; its digest is Digest
+	Chunks []Chunk
+	Size   int64 // of all chunks together
+}
+
+// ParseManifest reads an OCI image manifest and checks that it has the wanted digest.
+func ParseManifest(raw []byte, want digest.Digest) (*Manifest, error) {
+	if len(raw) > MaxManifestBytes {
+		return nil, fieldError("manifest", "more than %d bytes", MaxManifestBytes)
+	}
+	if err := CheckDigest(want); err != nil {
+		return nil, fieldError("digest", "%v", err)
+	}
+	if got := want.Algorithm().FromBytes(raw); got != want {
+		return nil, fieldError("manifest", "has the digest %s, not %s", got, want)
+	}
+	var m specs.Manifest
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return nil, fieldError("manifest", "not a JSON manifest: %v", err)
+	}
+	if m.SchemaVersion != schemaVersion {
+		return nil, fieldError("schemaVersion", "%d, not %d", m.SchemaVersion, schemaVersion)
+	}
+	if m.MediaType != "" && m.MediaType != specs.MediaTypeImageManifest {
+		return nil, fieldError("mediaType", "%q, not %q", m.MediaType, specs.MediaTypeImageManifest)
+	}
+	if len(m.Layers) == 0 {
+		return nil, fieldError("layers", "there are none")
+	}
+	manifest := &Manifest{Digest: want, Raw: raw, Chunks: make([]Chunk, 0, len(m.Layers))}
+	sizes := make(map[digest.Digest]int64, len(m.Layers))
+	for i, layer := range m.Layers {
+		if err := CheckDigest(layer.Digest); err != nil {
+			return nil, fieldError(fmt.Sprintf("layers[%d].digest", i), "%v", err)
+		}
+		if layer.Size <= 0 || layer.Size > MaxVersionBytes-manifest.Size {
+			return nil, fieldError(fmt.Sprintf("layers[%d].size", i), "%d is out of range", layer.Size)
+		}
+		if size, known := sizes[layer.Digest]; known && size != layer.Size {
+			return nil, fieldError(fmt.Sprintf("layers[%d].size", i), "%d here and %d before, with the same digest", layer.Size, size)
+		}
+		sizes[layer.Digest] = layer.Size
+		manifest.Chunks = append(manifest.Chunks, Chunk{layer.Digest, layer.Size})
+		manifest.Size += layer.Size
+	}
+	return manifest, nil
+}
+
+// ActiveVersion is what a name is served from.
+type ActiveVersion struct {
+	Manifest digest.Digest `json:"manifest"`
+	Revision int64         `json:"revision"` // of the name's record that asked for it
+}
+
+// NewManifest makes the manifest of such chunks.
+func NewManifest(chunks []Chunk) (*Manifest, error) {
+	empty := specs.DescriptorEmptyJSON
+	m := specs.Manifest{MediaType: specs.MediaTypeImageManifest, ArtifactType: "application/vnd.oakpick.weights", Config: empty}
+	m.SchemaVersion = schemaVersion
+	for _, c := range chunks {
+		m.Layers = append(m.Layers, specs.Descriptor{MediaType: "application/octet-stream", Digest: c.Digest, Size: c.Size})
+	}
+	raw, err := json.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return ParseManifest(raw, digest.FromBytes(raw))
+}
+
+// CheckDigest accepts SHA-256 digests only: every agent has to be able to verify them.
+func CheckDigest(d digest.Digest) error {
+	if err := d.Validate(); err != nil {
+		return err
+	}
+	if d.Algorithm() != digest.SHA256 {
+		return fmt.Errorf("%s digests are not taken", d.Algorithm())
+	}
+	return nil
+}
+
+// ChunkSet is a set of positions in a manifest, a bit each.
+type ChunkSet []byte
+
+// NewChunkSet makes an empty set for so many chunks.
+func NewChunkSet(chunks int) ChunkSet { return make(ChunkSet, (chunks+bitsEach-1)/bitsEach) }
+
+const bitsEach = 8
+
+// Has tells whether a position is in the set.
+func (s ChunkSet) Has(i int) bool {
+	return i/bitsEach < len(s) && s[i/bitsEach]&(1<<(i%bitsEach)) != 0
+}
+
+// Add puts a position into the set, which must be large enough for it.
+func (s ChunkSet) Add(i int) { s[i/bitsEach] |= 1 << (i % bitsEach) }
+
+// Remove takes a position out of the set.
+func (s ChunkSet) Remove(i int) {
+	if i/bitsEach < len(s) {
+		s[i/bitsEach] &^= 1 << (i % bitsEach)
+	}
+}
+
+// ForChunks copies a set that came from outside to one for so many chunks: positions beyond
+// them are left out, and missing bytes are empty.
+func (s ChunkSet) ForChunks(chunks int) ChunkSet {
+	out := NewChunkSet(chunks)
+	copy(out, s)
+	if rest := chunks % bitsEach; rest != 0 {
+		out[len(out)-1] &= math.MaxUint8 >> (bitsEach - rest)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/distribution/registry/registry_test.go
@@ -0,0 +1,248 @@
+package registry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/opencontainers/go-digest"
+
+	"oakpick/internal/distribution"
+)
+
+// memory is content for a handler.
+type memory struct {
+	manifest *distribution.Manifest
+	blobs    map[digest.Digest][]byte
+	chunks   distribution.ChunkSet
+	opened   func()
+}
+
+type reader struct{ *bytes.Reader }
+
+func (reader) Close() error { return nil }
+
+func (m *memory) Manifest(_, reference string) ([]byte, digest.Digest, error) {
+	if reference != m.manifest.Digest.String() && reference != "v1" {
+		return nil, "", ErrUnknown
+	}
+	return m.manifest.Raw, m.manifest.Digest, nil
+}
+
+func (m *memory) Blob(_ string, d digest.Digest) (Blob, error) {
+	if m.opened != nil {
+		m.opened()
+	}
+	content, ok := m.blobs[d]
+	if !ok {
+		return nil, ErrUnknown
+	}
+	return reader{bytes.NewReader(content)}, nil
+}
+
+func (m *memory) Chunks(digest.Digest) distribution.ChunkSet { return m.chunks }
+
+func serve(t *testing.T, m *memory, slots int) (address string) {
+	t.Helper()
+	server := httptest.NewServer(&Handler{Content: m, Slots: NewSlots(slots), RetryAfter: 3 * time.Second})
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func content(t *testing.T) (*memory, distribution.Chunk) {
+	t.Helper()
+	text := []byte("0123456789")
+	c := distribution.Chunk{Digest: digest.FromBytes(text), Size: int64(len(text))}
+	m, err := distribution.NewManifest([]distribution.Chunk{c})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &memory{manifest: m, blobs: map[digest.Digest][]byte{c.Digest: text}, chunks: distribution.ChunkSet{1}}, c
+}
+
+func fetch(t *testing.T, address string, m *distribution.Manifest, c distribution.Chunk, offset int64) ([]byte, Fetched) {
+	t.Helper()
+	client := NewClient(5*time.Second, nil, nil)
+	defer client.Close()
+	var got []byte
+	f := client.Blob(context.Background(), BlobRequest{
+		Address: address, Name: "models/a", Manifest: m.Digest, Chunk: c, Offset: offset, Stall: 300 * time.Millisecond, Within: time.Hour,
+	}, func(r io.Reader) { got, _ = io.ReadAll(r) })
+	return got, f
+}
+
+func TestChunksAreFetchedAndResumed(t *testing.T) {
+	m, c := content(t)
+	address := serve(t, m, 1)
+	for offset := range int64(10) {
+		got, f := fetch(t, address, m.manifest, c, offset)
+		if f.Fault != "" || string(got) != "0123456789"[offset:] || !f.Chunks.Has(0) {
+			t.Errorf("from %d: %q %+v", offset, got, f)
+		}
+	}
+	client := NewClient(5*time.Second, nil, nil)
+	defer client.Close()
+	if got, f := client.Manifest(context.Background(), address, "models/a", m.manifest.Digest); f.Fault != "" || got.Size != 10 {
+		t.Errorf("%+v", f)
+	}
+	if f := client.Chunks(context.Background(), address, "models/a", m.manifest.Digest); f.Fault != "" || !f.Chunks.Has(0) {
+		t.Errorf("%+v", f)
+	}
+	if got, err := client.Resolve(context.Background(), address, "models/a", "v1"); err != nil || got.Digest != m.manifest.Digest {
+		t.Errorf("%v", err)
+	}
+	if _, err := client.Resolve(context.Background(), address, "models/a", "v2"); err == nil {
+		t.Error("an unknown tag has a manifest")
+	}
+}
+
+// A source admits no more uploads than it has slots, whoever holds which lease; the others are
+// told when to come back. A slot is free again when its upload ends.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	m, c := content(t)
+	const slots = 2
+	inside, release := make(chan struct{}, 16), make(chan struct{})
+	m.opened = func() { inside <- struct{}{}; <-release }
+	address := serve(t, m, slots)
+	done := make(chan Fetched)
+	for range slots {
+		go func() {
+			_, f := fetch(t, address, m.manifest, c, 0)
+			done <- f
+		}()
+	}
+	for range slots {
+		<-inside
+	}
+	for range 10 {
+		if _, f := fetch(t, address, m.manifest, c, 0); f.Fault != distribution.FaultBusy || f.RetryAfter != 3*time.Second {
+			t.Errorf("%+v", f)
+		}
+	}
+	if len(inside) != 0 {
+		t.Error("more uploads than slots")
+	}
+	close(release)
+	for range slots {
+		if f := <-done; f.Fault != "" && f.Fault != distribution.FaultSlow {
+			t.Errorf("%+v", f)
+		}
+	}
+	if _, f := fetch(t, address, m.manifest, c, 0); f.Fault != "" {
+		t.Errorf("%+v", f)
+	}
+}
+
+// Every bad request gets 4xx with what is wrong.
+func TestBadRequests(t *testing.T) {
+	m, c := content(t)
+	address := serve(t, m, 4)
+	good := "/v2/models/a/blobs/" + c.Digest.String()
+	unknown := digest.FromString("other").String()
+	for _, x := range []struct {
+		method, path, header, value string
+		status                      int
+		says                        string
+	}{
+		{"GET", "/v2/Models/a/blobs/" + c.Digest.String(), "", "", 400, "name"},
+		{"GET", "/v2/models/a/blobs/sha256:zz", "", "", 400, "digest"},
+		{"GET", "/v2/models/a/blobs/..%2f..%2fetc", "", "", 400, "digest"},
+		{"GET", "/v2/models/a/blobs/" + unknown, "", "", 404, "blob"},
+		{"GET", "/v2/models/a/manifests/" + unknown, "", "", 404, "manifest"},
+		{"GET", "/v2/models/a/manifests/!", "", "", 400, "reference"},
+		{"GET", "/v2/models/a/tags/list", "", "", 404, "path"},
+		{"PUT", good, "", "", 405, "read side"},
+		{"DELETE", "/v2/models/a/manifests/v1", "", "", 405, "read side"},
+		{"GET", good, "Range", "bytes=99-", 416, ""},
+		{"GET", good, "Range", "bytes=9-1", 416, ""},
+		{"GET", good, "Range", "lines=1-2", 416, ""},
+		{"GET", good, distribution.ManifestHeader, "x", 400, distribution.ManifestHeader},
+		{"GET", "/v2/", "", "", 200, ""},
+		{"HEAD", good, "", "", 200, ""},
+		{"GET", good, "Range", "bytes=0-1", 206, "01"},
+	} {
+		req, err := http.NewRequest(x.method, "http://"+address+x.path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if x.header != "" {
+			req.Header.Set(x.header, x.value)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(res.Body)
+		res.Body.Close()
+		if res.StatusCode != x.status || !strings.Contains(string(body), x.says) {
+			t.Errorf("%s %s %s: %d %s", x.method, x.path, x.value, res.StatusCode, body)
+		}
+	}
+}
+
+// What a bad source answers is told apart: it hangs, breaks off, has too few or too many
+// bytes, or gives a whole answer where a part was asked for.
+func TestFaultsAreToldApart(t *testing.T) {
+	m, c := content(t)
+	size := fmt.Sprint(c.Size)
+	for name, x := range map[string]struct {
+		answer http.HandlerFunc
+		offset int64
+		fault  distribution.Fault
+	}{
+		"says nothing": {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 0, distribution.FaultSlow},
+		"stalls": {func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", size)
+			_, _ = w.Write([]byte("012"))
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}, 0, distribution.FaultSlow},
+		"breaks off": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", size)
+			_, _ = w.Write([]byte("012"))
+		}, 0, distribution.FaultUnreachable},
+		"has fewer bytes": {func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("012")) }, 0, distribution.FaultDamaged},
+		"ignores the range": {func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("0123456789")) }, 4,
+			distribution.FaultDamaged},
+		"another range": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Range", "bytes 0-5/10")
+			w.WriteHeader(http.StatusPartialContent)
+		}, 4, distribution.FaultDamaged},
+		"the range is beyond its end": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(416) }, 4, distribution.FaultDamaged},
+		"has it not":                  {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(404) }, 0, distribution.FaultMissing},
+		"is busy":                     {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, 0, distribution.FaultBusy},
+		"fails":                       {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 0, distribution.FaultUnreachable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(x.answer)
+			defer server.Close()
+			_, f := fetch(t, strings.TrimPrefix(server.URL, "http://"), m.manifest, c, x.offset)
+			if f.Fault != x.fault {
+				t.Errorf("%q, not %q", f.Fault, x.fault)
+			}
+		})
+	}
+	if _, f := fetch(t, "127.0.0.1:1", m.manifest, c, 0); f.Fault != distribution.FaultUnreachable {
+		t.Errorf("nobody there: %q", f.Fault)
+	}
+}
+
+// A manifest that is too long, or has another digest than asked for, is refused.
+func TestBadManifestsFromSources(t *testing.T) {
+	m, _ := content(t)
+	client := NewClient(5*time.Second, nil, nil)
+	defer client.Close()
+	for name, body := range map[string][]byte{"endless": bytes.Repeat([]byte(" "), distribution.MaxManifestBytes*2), "another": []byte(`{"schemaVersion":2}`)} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }))
+		if _, f := client.Manifest(context.Background(), strings.TrimPrefix(server.URL, "http://"), "a", m.manifest.Digest); f.Fault != distribution.FaultDamaged {
+			t.Errorf("%s: %+v", name, f)
+		}
+		server.Close()
+	}
+}
--- a/internal/fake/node.go
+++ b/internal/fake/node.go
@@ -95,8 +95,7 @@
 	if !n.Up || n.w.Now < n.PausedUntil {
 		return
 	}
-	mono := time.Duration(float64(n.w.Now-n.began) * (1 + n.drift))
-	now := coordination.Now{Mono: mono, WallMs: (n.w.Now + n.ClockOff).Milliseconds() + 1_000_000}
+	now := coordination.Now{Mono: n.Steady(), WallMs: (n.w.Now + n.ClockOff).Milliseconds() + 1_000_000}
 	for _, e := range n.node.Step(now, []coordination.Command{command}) {
 		n.perform(e, command)
 	}
@@ -104,13 +103,19 @@
 
 // call has a request executed and its result brought back, as the network will.
 func (n *Node) call(kind, to string, wait time.Duration, execute func() (coordination.Command, bool), lost coordination.Command) {
+	life := n.life
+	exchange(n, kind, to, wait, execute, lost, func(r coordination.Command) { n.back(r, life) })
+}
+
+// exchange does the same for any part of the process.
+func exchange[R any](n *Node, kind, to string, wait time.Duration, execute func() (R, bool), lost R, done func(R)) {
 	w, life := n.w, n.life
 	f := w.fate(kind, n.Name, to)
 	over := false
-	finish := func(r coordination.Command) {
+	finish := func(r R) {
 		if !over && n.Up && n.life == life {
 			over = true
-			n.back(r, life)
+			done(r)
 		}
 	}
 	w.After(wait, func() { finish(lost) })
@@ -128,6 +133,22 @@
 	})
 }
 
+// AskState carries a request of a part of the process beside coordination to the state
+// service; kind tells it apart to the network.
+func (n *Node) AskState(kind string, c storage.StateCall, done func(storage.StateResult)) {
+	exchange(n, kind, "state", sec(n.w.Cfg.Settings.Workers.Report)/2,
+		func() (storage.StateResult, bool) { return n.w.State.execute(n.Name, n.old, c), true },
+		storage.StateResult{ID: c.ID, Outcome: storage.Lost}, done)
+}
+
+// Life counts the starts of the node's process.
+func (n *Node) Life() int { return n.life }
+
+// Steady is the process's steady clock.
+func (n *Node) Steady() time.Duration {
+	return time.Duration(float64(n.w.Now-n.began) * (1 + n.drift))
+}
+
 // back brings a result to the process, once it has processor time.
 func (n *Node) back(r coordination.Command, life int) {
 	if !n.Up || n.life != life {
--- a/internal/scale/addresses.go
+++ b/internal/scale/addresses.go
@@ -20,6 +20,8 @@
 	statePort   = 2379
 	cloudPort   = 8443
 	workerPort  = 9000
+	// firstController is the last number of the first controller's address.
+	firstController = 10
 	// workersInBlock is how many workers share the third number.
 	workersInBlock = 250
 )
@@ -33,11 +35,11 @@
 func (a addresses) cloud() string { return fmt.Sprintf("%s:%d", a.ip(0, 3), cloudPort) }
 
 func (a addresses) front(controller int) string {
-	return fmt.Sprintf("%s:%d", a.ip(0, 10+controller), frontPort)
+	return fmt.Sprintf("%s:%d", a.ip(0, firstController+controller), frontPort)
 }
 
 func (a addresses) cluster(controller int) string {
-	return fmt.Sprintf("%s:%d", a.ip(0, 10+controller), clusterPort)
+	return fmt.Sprintf("%s:%d", a.ip(0, firstController+controller), clusterPort)
 }
 
 // worker is the address of the n-th machine that is rented in a run.
--- a/internal/scale/controllers.go
+++ b/internal/scale/controllers.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -90,29 +89,16 @@
 	if err != nil {
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(c.dir, controllerName(i)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	p, err := startProcess(append(c.command[:len(c.command):len(c.command)], path), c.logFile(i))
 	if err != nil {
 		return err
 	}
-	defer log.Close()
-	cmd := exec.Command(c.command[0], append(c.command[1:len(c.command):len(c.command)], path)...)
-	cmd.Stdout, cmd.Stderr = log, log
-	// It must not outlive this process, however that ends.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	p := &process{cmd: cmd, ended: make(chan struct{})}
 	c.mu.Lock()
 	if old := c.processes[i]; old != nil {
 		p.spent = old.spent
 	}
 	c.processes[i] = p
 	c.mu.Unlock()
-	go func() {
-		_ = cmd.Wait() // how it ended shows in killed, and in its log
-		close(p.ended)
-	}()
 	return nil
 }
 
@@ -144,10 +130,11 @@
 		p.spent = usage.CPUSeconds
 	}
 	c.mu.Unlock()
-	_ = p.cmd.Process.Kill() // it may have ended already
-	<-p.ended
+	p.kill()
 }
 
+func (c *controllers) logFile(i int) string { return filepath.Join(c.dir, controllerName(i)+".log") }
+
 // killAll ends every process that was started.
 func (c *controllers) killAll() {
 	for i := range c.processes {
@@ -169,7 +156,7 @@
 			killed := p.killed
 			c.mu.Unlock()
 			if !killed {
-				out = append(out, controllerName(i)+" ended by itself: "+c.logEnd(i))
+				out = append(out, controllerName(i)+" ended by itself: "+lastLine(c.logFile(i)))
 			}
 		default:
 		}
@@ -177,16 +164,6 @@
 	return out
 }
 
-// logEnd is the last line of a controller's log.
-func (c *controllers) logEnd(i int) string {
-	text, err := os.ReadFile(filepath.Join(c.dir, controllerName(i)+".log"))
-	if err != nil {
-		return err.Error()
-	}
-	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
-	return lines[len(lines)-1]
-}
-
 // Usage is what a controller's process has taken.
 type Usage struct {
 	CPUSeconds float64 `json:"cpu_s"`
--- a/internal/scale/parameters.go
+++ b/internal/scale/parameters.go
@@ -7,12 +7,9 @@
 import (
 	"errors"
 	"fmt"
-	"reflect"
-	"strings"
 	"syscall"
 	"time"
 
-	"github.com/go-playground/validator/v10"
 	"github.com/prometheus/procfs"
 
 	"oakpick/internal/config"
@@ -60,18 +57,7 @@
 // is too small for the rest.
 func (p *Parameters) Check() error {
 	p.derive()
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string { return "--" + f.Tag.Get("name") })
-	var problems []error
-	var fields validator.ValidationErrors
-	if err := v.Struct(p); errors.As(err, &fields) {
-		for _, f := range fields {
-			name := strings.TrimPrefix(f.Namespace(), "Parameters.")
-			problems = append(problems, fmt.Errorf("%s: out of range (%s %s)", name, f.Tag(), f.Param()))
-		}
-	} else if err != nil {
-		problems = append(problems, err)
-	}
+	problems := outOfRange(p)
 	if p.Accelerators > p.Workers*acceleratorsEach {
 		problems = append(problems, fmt.Errorf("--accelerators: %d are more than %d workers hold", p.Accelerators, p.Workers))
 	}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -14,28 +14,49 @@
 
 	"oakpick/internal/config"
 	"oakpick/internal/daemon"
+	"oakpick/internal/distribution/agent"
 )
 
-// asController has the test's own program run as a controller, so that no other has to be
-// built first.
-const asController = "OAKPICK_TEST_AS_CONTROLLER"
+// asProcess has the test's own program run as a controller or an agent, so that no other has
+// to be built first.
+const asProcess = "OAKPICK_TEST_AS_PROCESS"
 
 func TestMain(m *testing.M) {
-	if os.Getenv(asController) == "" {
+	if os.Getenv(asProcess) == "" {
 		os.Exit(m.Run())
 	}
-	cfg, err := config.Load(os.Args[len(os.Args)-1])
-	if err == nil {
-		err = daemon.Run(context.Background(), cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	}
-	fmt.Fprintln(os.Stderr, err)
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	fmt.Fprintln(os.Stderr, runAs(os.Args[1:], log))
 	os.Exit(1)
 }
 
+// runAs serves as the arguments say: as an agent, or as a controller, with extensions or not.
+func runAs(arguments []string, log *slog.Logger) error {
+	last := arguments[len(arguments)-1]
+	if arguments[0] == "--config" {
+		settings, err := agent.LoadSettings(last)
+		if err != nil {
+			return err
+		}
+		return agent.Run(context.Background(), settings, log)
+	}
+	cfg, err := config.Load(last)
+	if err != nil {
+		return err
+	}
+	var extensions config.Extensions
+	if arguments[0] == "--extensions" {
+		if extensions, err = config.LoadExtensions(arguments[1], cfg); err != nil {
+			return err
+		}
+	}
+	return daemon.Run(context.Background(), cfg, extensions, log)
+}
+
 // small is a run of some tens of workers and a few seconds.
 func small(t *testing.T) (Parameters, []string) {
 	t.Helper()
-	t.Setenv(asController, "1")
+	t.Setenv(asProcess, "1")
 	return Parameters{
 		Workers: 30, Accelerators: 48, Running: 150, Starts: 15, Jobs: 2, Teams: 5, Gang: 8, Urgent: 1, Cancelled: 0.1, Ended: 500, Archived: 2000,
 		Controllers: 3, Steps: []float64{0.5, 1}, Vary: "all", Settle: 9 * time.Second, Measure: 3 * time.Second, Windows: 3,
--- a/internal/scale/servers.go
+++ b/internal/scale/servers.go
@@ -14,6 +14,7 @@
 	"oakpick/internal/coordination"
 	"oakpick/internal/protocol"
 	"oakpick/internal/storage"
+	"oakpick/internal/transport"
 )
 
 // servers are the hollow components that controllers connect to: state service, cloud and
@@ -57,15 +58,11 @@
 }
 
 func (s *servers) serve(l net.Listener, handle fasthttp.RequestHandler) {
-	server := &fasthttp.Server{Handler: handle, Logger: quiet{}, NoDefaultServerHeader: true, NoDefaultDate: true, Concurrency: 1 << 20, ReduceMemoryUsage: true}
+	server := &fasthttp.Server{Handler: handle, Logger: transport.Quiet{}, NoDefaultServerHeader: true, NoDefaultDate: true, Concurrency: 1 << 20, ReduceMemoryUsage: true}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }() // it ends with the listener
 }
 
-type quiet struct{}
-
-func (quiet) Printf(string, ...any) {}
-
 // close stops listening, and closes what is open.
 func (s *servers) close() {
 	for _, l := range s.listeners {
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -57,7 +58,7 @@
 		ReadTimeout: idle, IdleTimeout: idle, WriteTimeout: idle,
 		ReadBufferSize: 4096, WriteBufferSize: 4096, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
-		Logger: quiet{},
+		Logger: Quiet{},
 		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
 			write(ctx, coordination.Reply{Status: 400, Body: protocol.EncodeError("malformed request")})
 			if errors.Is(err, fasthttp.ErrBodyTooLarge) {
@@ -68,9 +69,11 @@
 	return f
 }
 
-type quiet struct{}
+// Quiet keeps the HTTP library from writing to the log.
+type Quiet struct{}
 
-func (quiet) Printf(string, ...any) {}
+// Printf writes nothing.
+func (Quiet) Printf(string, ...any) {}
 
 // Open is how many connections there are.
 func (f *Front) Open() int { return int(f.server.GetOpenConnectionsCount()) }
@@ -161,23 +164,25 @@
 	return limit.Run(func() coordination.Reply { return owner.Do(call, raw, userWait(call.Kind)) })
 }
 
-// PeerServer serves the other controllers, and the administration API.
+// PeerServer serves the other controllers, and what is mounted beside them.
 type PeerServer struct {
-	owner Owner
-	limit *Limit
-	admin http.Handler
+	owner   Owner
+	limit   *Limit
+	mounted map[string]http.Handler
 }
 
-// NewPeerServer makes it.
-func NewPeerServer(owner Owner, limit *Limit, admin http.Handler) *PeerServer {
-	return &PeerServer{owner, limit, admin}
+// NewPeerServer makes it. Each handler serves the paths that begin with its prefix.
+func NewPeerServer(owner Owner, limit *Limit, mounted map[string]http.Handler) *PeerServer {
+	return &PeerServer{owner, limit, mounted}
 }
 
 // ServeHTTP answers a request of a peer, or of an operator.
 func (s *PeerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.admin != nil && len(r.URL.Path) >= len(protocol.PathAdmin) && r.URL.Path[:len(protocol.PathAdmin)] == protocol.PathAdmin {
-		s.admin.ServeHTTP(w, r)
-		return
+	for prefix, handler := range s.mounted {
+		if strings.HasPrefix(r.URL.Path, prefix) {
+			handler.ServeHTTP(w, r)
+			return
+		}
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, protocol.MaxBody))
 	if err != nil {
