Weights: versions packed, checked and served from a directory; figures; clean-up

Need: operators had no way to cut weights into chunks, and a site without a registry had no store. A full disk without a budget kept old chunks. Store contents of the stand-ins are one piece of code, so is what programs say when they fail.

--- a/cmd/oakpick-scale/main.go
+++ b/cmd/oakpick-scale/main.go
@@ -5,14 +5,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 
+	"oakpick/internal/logging"
 	"oakpick/internal/scale"
 )
 
@@ -43,9 +42,7 @@
 	parsed := kong.Parse(&cli, kong.Name("oakpick-scale"), kong.UsageOnError(),
 		kong.Description("Plays real controllers over loopback and in real time. It takes no more than half of the machine's memory and stops by itself."))
 	if err := parsed.Run(); err != nil {
-		for line := range strings.SplitSeq(err.Error(), "\n") {
-			fmt.Fprintln(os.Stderr, "oakpick-scale:", line)
-		}
+		logging.Fail(os.Stderr, "oakpick-scale", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/oakpick/main.go
+++ b/cmd/oakpick/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"runtime/debug"
-	"strings"
 
 	"github.com/alecthomas/kong"
 
@@ -74,9 +73,7 @@
 	ctx := kong.Parse(&cli, kong.Name("oakpick"),
 		kong.Description("A scheduler for fleets that serve language models."), kong.UsageOnError())
 	if err := ctx.Run(&cli); err != nil {
-		for line := range strings.SplitSeq(err.Error(), "\n") {
-			fmt.Fprintln(os.Stderr, "oakpick:", line)
-		}
+		logging.Fail(os.Stderr, "oakpick", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/oakpick/weights.go
+++ b/cmd/oakpick/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -16,25 +17,34 @@
 
 // weights are the commands about the distribution of weights.
 type weights struct {
-	Controller []string      `help:"Trackers' addresses (HOST:PORT) of one or more controllers; the first that answers is used." placeholder:"ADDRESS" required:""`
+	Controller []string      `help:"Trackers' addresses (HOST:PORT) of one or more controllers; the first that answers is used." placeholder:"ADDRESS"`
 	Timeout    time.Duration `help:"Give up after this time." default:"10s"`
 
 	List   weightsList   `cmd:"" help:"List all names with their manifests."`
 	Status weightsStatus `cmd:"" help:"Tell who holds what of a name, what is fetched from whom, and why agents wait."`
 	Use    weightsUse    `cmd:"" help:"Have a name refer to a manifest, given by digest or by a tag of the store."`
+	Pack   weightsPack   `cmd:"" help:"Cut files into a version in an OCI image layout. No controller is asked."`
+	Check  weightsCheck  `cmd:"" help:"Read every byte of an OCI image layout and name what is missing or damaged. No controller is asked."`
+	Serve  weightsServe  `cmd:"" help:"Serve an OCI image layout to agents, as a small store. No controller is asked."`
 }
 
-func (w *weights) client() (*operator.Client, context.Context, context.CancelFunc) {
+func (w *weights) client() (*operator.Client, context.Context, context.CancelFunc, error) {
+	if len(w.Controller) == 0 {
+		return nil, nil, nil, errors.New("--controller ADDRESS is missing")
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), w.Timeout)
 	// Each controller has its part of the time, so that one that hangs doesn't take it all.
 	each := w.Timeout / time.Duration(len(w.Controller)+1)
-	return &operator.Client{Controllers: w.Controller, HTTP: http.Client{Timeout: each}}, ctx, cancel
+	return &operator.Client{Controllers: w.Controller, HTTP: http.Client{Timeout: each}}, ctx, cancel, nil
 }
 
 type weightsList struct{}
 
 func (weightsList) Run(cli *commandLine) error {
-	client, ctx, cancel := cli.Weights.client()
+	client, ctx, cancel, err := cli.Weights.client()
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	names, err := client.Names(ctx)
 	if err != nil {
@@ -51,7 +61,10 @@
 	if err := distribution.CheckName(s.Name); err != nil {
 		return err
 	}
-	client, ctx, cancel := cli.Weights.client()
+	client, ctx, cancel, err := cli.Weights.client()
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	status, err := client.Status(ctx, s.Name)
 	if err != nil {
@@ -71,7 +84,10 @@
 	if err := distribution.CheckName(u.Name); err != nil {
 		return err
 	}
-	client, ctx, cancel := cli.Weights.client()
+	client, ctx, cancel, err := cli.Weights.client()
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	manifest, err := u.resolve(ctx, cli.Weights.Timeout)
 	if err != nil {
--- a/internal/daemon/tracker_test.go
+++ b/internal/daemon/tracker_test.go
@@ -26,27 +26,27 @@
 	"oakpick/internal/distribution/tracker"
 )
 
+// trackerOn switches the tracker on at some address.
+func trackerOn(t *testing.T) (config.Extensions, string) {
+	t.Helper()
+	address := addr(t)
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config.Extensions{Distribution: &config.Distribution{Port: number, StoreSlots: 2, Connections: 64, ReportS: 0.2, IdleReportS: 0.4}}, address
+}
+
 // tracked are two controllers that serve the tracker, at these addresses.
 func tracked(t *testing.T) (*pair, []string) {
 	t.Helper()
-	var extensions []config.Extensions
-	var trackers []string
-	for range 2 {
-		address := addr(t)
-		_, port, err := net.SplitHostPort(address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		number, err := strconv.Atoi(port)
-		if err != nil {
-			t.Fatal(err)
-		}
-		trackers = append(trackers, address)
-		extensions = append(extensions, config.Extensions{Distribution: &config.Distribution{
-			Port: number, StoreSlots: 2, Connections: 64, ReportS: 0.2, IdleReportS: 0.4,
-		}})
-	}
-	return newPairWith(t, extensions...), trackers
+	first, firstAddress := trackerOn(t)
+	second, secondAddress := trackerOn(t)
+	return newPairWith(t, first, second), []string{firstAddress, secondAddress}
 }
 
 func inventoryText(t *testing.T, spoil func(*distribution.Inventory)) string {
@@ -123,16 +123,7 @@
 // A leader that doesn't track weights, because it is of another version or has it switched
 // off, answers users as ever; the other says that it can't serve agents.
 func TestTrackerIsSwitchedOnAtTheFollowerOnly(t *testing.T) {
-	address := addr(t)
-	_, port, err := net.SplitHostPort(address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	number, err := strconv.Atoi(port)
-	if err != nil {
-		t.Fatal(err)
-	}
-	on := config.Extensions{Distribution: &config.Distribution{Port: number, StoreSlots: 2, Connections: 64, ReportS: 0.2, IdleReportS: 0.4}}
+	on, address := trackerOn(t)
 	p := newPairWith(t, config.Extensions{}, on)
 	within(t, func() (string, bool) {
 		status, body := ask(t, "GET", address+distribution.PathWeights, "")
@@ -145,59 +136,18 @@
 	}
 }
 
-// memoryStore is a store of weights for agents.
-type memoryStore struct {
-	mu        sync.Mutex
-	manifests map[digest.Digest]*distribution.Manifest
-	blobs     map[digest.Digest][]byte
-}
-
-type blob struct{ *bytes.Reader }
-
-func (blob) Close() error { return nil }
-
-func (s *memoryStore) Manifest(_, reference string) ([]byte, digest.Digest, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m := s.manifests[digest.Digest(reference)]
-	if m == nil {
-		return nil, "", registry.ErrUnknown
-	}
-	return m.Raw, m.Digest, nil
-}
-
-func (s *memoryStore) Blob(_ string, d digest.Digest) (registry.Blob, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	content, ok := s.blobs[d]
-	if !ok {
-		return nil, registry.ErrUnknown
-	}
-	return blob{bytes.NewReader(content)}, nil
-}
-
-func (s *memoryStore) Chunks(digest.Digest) distribution.ChunkSet { return nil }
-
-// publish makes a version and gives the sum of its bytes.
-func (s *memoryStore) publish(t *testing.T, version string) (*distribution.Manifest, [sha256.Size]byte) {
+// publish has a store make a version, and gives the sum of its bytes.
+func publish(t *testing.T, store *registry.Memory, version string) (*distribution.Manifest, [sha256.Size]byte) {
 	t.Helper()
-	var list []distribution.Chunk
-	var whole []byte
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	var chunks [][]byte
 	for i := range 12 {
-		content := bytes.Repeat([]byte(fmt.Sprint(version, i, ".")), 2000)
-		d := digest.FromBytes(content)
-		s.blobs[d] = content
-		list = append(list, distribution.Chunk{Digest: d, Size: int64(len(content))})
-		whole = append(whole, content...)
+		chunks = append(chunks, bytes.Repeat([]byte(fmt.Sprint(version, i, ".")), 2000))
 	}
-	m, err := distribution.NewManifest(list)
+	m, err := store.Publish(chunks)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.manifests[m.Digest] = m
-	return m, sha256.Sum256(whole)
+	return m, sha256.Sum256(bytes.Join(chunks, nil))
 }
 
 // Real agents fetch a version from the store and from each other, and then another; a leader
@@ -205,7 +155,7 @@
 // it had.
 func TestAgentsOnLoopback(t *testing.T) {
 	p, trackers := tracked(t)
-	store := &memoryStore{manifests: map[digest.Digest]*distribution.Manifest{}, blobs: map[digest.Digest][]byte{}}
+	store := registry.NewMemory()
 	storeAddress := serve(t, &registry.Handler{Content: store, Slots: registry.NewSlots(2)})
 	var group sync.WaitGroup
 	t.Cleanup(group.Wait)
@@ -228,7 +178,7 @@
 		s.Agent, s.Zone, s.Listen, s.Directory = fmt.Sprint("agent-", i), []string{"north", "south"}[i%2], addr(t), t.TempDir()
 		agents, ends = append(agents, s), append(ends, start(s))
 	}
-	first, firstSum := store.publish(t, "first")
+	first, firstSum := publish(t, store, "first")
 	client := &operator.Client{Controllers: trackers}
 	use := func(m *distribution.Manifest) {
 		t.Helper()
@@ -265,7 +215,7 @@
 	}
 
 	ends[0]()
-	second, secondSum := store.publish(t, "second")
+	second, secondSum := publish(t, store, "second")
 	use(second)
 	p.end[0]()
 	p.state.drop(coordination.LeaderKey) // its lease runs out
--- a/internal/distribution/agent/core_fetch.go
+++ b/internal/distribution/agent/core_fetch.go
@@ -209,6 +209,7 @@
 		c.counts.Faults[e.Fault]++
 		c.diskFailed++
 		c.diskUntil = c.now + c.backOff(c.diskFailed)
+		c.evict(k.Size) // without a budget, this is when there is too much
 	default:
 		if e.Fault == distribution.FaultMissing && s.chunks != nil {
 			for v, i := c.versions[s.Manifest], 0; v != nil && i < len(v.positions[k.Digest]); i++ {
--- a/internal/distribution/agent/core_test.go
+++ b/internal/distribution/agent/core_test.go
@@ -360,3 +360,27 @@
 		t.Errorf("faults %v %v, %d bytes used", c.faults, c.Counts().Faults, c.Used())
 	}
 }
+
+// Without a budget, a disk that is full is what has old chunks removed: those of versions in
+// use stay.
+func TestFullDiskEvictsOldChunks(t *testing.T) {
+	old, wanted := manifestOf(t, "old", 3), manifestOf(t, "wanted", 3)
+	stored := Stored{Chunks: map[digest.Digest]int64{}, Manifests: []*distribution.Manifest{old}}
+	for _, x := range old.Chunks {
+		stored.Chunks[x.Digest] = 100
+	}
+	c := newCore(stored)
+	c.Step(0, answer(2, wanted, distribution.Source{Agent: distribution.StoreSource, Manifest: wanted.Digest, Stripes: 1}))
+	get := of[GetChunk](c.Step(1, ManifestResult{Digest: wanted.Digest, Manifest: wanted}))
+	effects := c.Step(time.Second, ChunkResult{ID: get[0].ID, Fault: distribution.FaultDisk, Received: 40})
+	removes := of[Remove](effects)
+	if len(removes) != 1 || len(c.versions[old.Digest].positions[removes[0].Chunk]) == 0 {
+		t.Errorf("%+v", effects)
+	}
+	if len(of[GetChunk](effects)) != 0 {
+		t.Error("it goes on at once on a full disk")
+	}
+	if got := of[GetChunk](c.Step(time.Minute, RemoveResult{removes[0].Chunk, true})); len(got) != 1 {
+		t.Errorf("it doesn't go on: %+v", got)
+	}
+}
--- a/internal/distribution/agent/core_versions.go
+++ b/internal/distribution/agent/core_versions.go
@@ -191,11 +191,18 @@
 }
 
 // makeRoom tells whether so many more bytes may be stored. If not, chunks that no version in
-// use has are removed, the one first that was not used for longest.
+// use has are removed.
 func (c *Core) makeRoom(bytes int64) bool {
 	if c.settings.DiskBytes == 0 || c.used+bytes <= c.settings.DiskBytes {
 		return true
 	}
+	c.overBudget = !c.evict(c.used + bytes - c.settings.DiskBytes)
+	return false
+}
+
+// evict has chunks that no version in use has removed, the one first that was not used for
+// longest, until so many bytes are or will be free. It tells whether any is on its way.
+func (c *Core) evict(bytes int64) bool {
 	var idle []*chunk
 	leaving := int64(0)
 	for _, k := range c.chunks {
@@ -210,15 +217,14 @@
 		return cmp.Or(cmp.Compare(a.usedAt, b.usedAt), cmp.Compare(a.Digest, b.Digest))
 	})
 	for _, k := range idle {
-		if c.used-leaving+bytes <= c.settings.DiskBytes {
+		if leaving >= bytes {
 			break
 		}
 		leaving += k.stored()
 		k.removing = true
 		c.emit(Remove{k.Digest})
 	}
-	c.overBudget = leaving == 0
-	return false
+	return leaving > 0
 }
 
 func (k *chunk) stored() int64 {
--- /dev/null
+++ b/internal/distribution/layout/layout.go
@@ -0,0 +1,268 @@
+// Package layout keeps versions of weights in a directory as an OCI image layout: it cuts files
+// into chunks, checks what is there, and is content that a store can serve.
+package layout
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"path"
+
+	"github.com/opencontainers/go-digest"
+	"github.com/opencontainers/image-spec/specs-go"
+	image "github.com/opencontainers/image-spec/specs-go/v1"
+	"github.com/spf13/afero"
+
+	"oakpick/internal/distribution"
+	"oakpick/internal/distribution/registry"
+)
+
+const (
+	blobsDir  = "blobs"
+	newSuffix = ".new"
+	indexMost = 16 << 20 // bytes of the index that are read
+)
+
+// Layout is a directory.
+type Layout struct {
+	fs   afero.Fs
+	root string
+}
+
+// Open opens a layout that is there.
+func Open(files afero.Fs, root string) (*Layout, error) {
+	l := &Layout{files, root}
+	text, err := afero.ReadFile(files, path.Join(root, image.ImageLayoutFile))
+	if err != nil {
+		return nil, fmt.Errorf("%s is no image layout: %w", root, err)
+	}
+	var version image.ImageLayout
+	if json.Unmarshal(text, &version) != nil || version.Version != image.ImageLayoutVersion {
+		return nil, fmt.Errorf("%s: %s: version %q is not %s", root, image.ImageLayoutFile, version.Version, image.ImageLayoutVersion)
+	}
+	return l, nil
+}
+
+// Create opens a layout, which is made if there is none.
+func Create(files afero.Fs, root string) (*Layout, error) {
+	l, err := Open(files, root)
+	if !errors.Is(err, fs.ErrNotExist) {
+		return l, err
+	}
+	l = &Layout{files, root}
+	if err := files.MkdirAll(path.Join(root, blobsDir, digest.SHA256.String()), 0o755); err != nil {
+		return nil, err
+	}
+	// What says that it is a layout comes last.
+	return l, errors.Join(l.writeIndex(image.Index{Versioned: specs.Versioned{SchemaVersion: 2}, MediaType: image.MediaTypeImageIndex}),
+		l.writeJSON(image.ImageLayoutFile, image.ImageLayout{Version: image.ImageLayoutVersion}))
+}
+
+func (l *Layout) blobPath(d digest.Digest) string {
+	return path.Join(l.root, blobsDir, d.Algorithm().String(), d.Encoded())
+}
+
+// Pack cuts the bytes of a source into chunks of such a size, the last one shorter, and has a
+// tag name the version. Chunks that are there already are not written again. The tag changes
+// last, in one step.
+func (l *Layout) Pack(source io.Reader, chunkBytes int64, tag string) (*distribution.Manifest, error) {
+	if chunkBytes <= 0 {
+		return nil, &distribution.FieldError{Field: "chunk size", Problem: fmt.Sprintf("%d is out of range", chunkBytes)}
+	}
+	if err := distribution.CheckReference(tag); err != nil || distribution.CheckDigest(digest.Digest(tag)) == nil {
+		return nil, &distribution.FieldError{Field: "tag", Problem: fmt.Sprintf("%.80q is not a tag", tag)}
+	}
+	var chunks []distribution.Chunk
+	for {
+		chunk, err := l.packChunk(io.LimitReader(source, chunkBytes))
+		if err != nil {
+			return nil, err
+		}
+		if chunk.Size == 0 {
+			break
+		}
+		chunks = append(chunks, chunk)
+	}
+	m, err := distribution.NewManifest(chunks)
+	if err != nil {
+		return nil, err
+	}
+	for d, content := range map[digest.Digest][]byte{m.Digest: m.Raw, image.DescriptorEmptyJSON.Digest: image.DescriptorEmptyJSON.Data} {
+		if err := l.replace(l.blobPath(d), bytes.NewReader(content)); err != nil {
+			return nil, err
+		}
+	}
+	return m, l.tag(m, tag)
+}
+
+// packChunk writes what a source gives as a blob; one without bytes is none.
+func (l *Layout) packChunk(source io.Reader) (distribution.Chunk, error) {
+	name := path.Join(l.root, blobsDir, "chunk"+newSuffix)
+	sum := digest.SHA256.Digester()
+	size, err := l.write(name, io.TeeReader(source, sum.Hash()))
+	if err != nil || size == 0 {
+		return distribution.Chunk{}, errors.Join(err, l.fs.Remove(name))
+	}
+	chunk := distribution.Chunk{Digest: sum.Digest(), Size: size}
+	return chunk, l.fs.Rename(name, l.blobPath(chunk.Digest))
+}
+
+// write writes a file and returns once that is durable.
+func (l *Layout) write(name string, content io.Reader) (size int64, err error) {
+	file, err := l.fs.Create(name)
+	if err != nil {
+		return 0, err
+	}
+	size, err = io.Copy(file, content)
+	return size, errors.Join(err, file.Sync(), file.Close())
+}
+
+// replace writes a file in one step.
+func (l *Layout) replace(name string, content io.Reader) error {
+	if _, err := l.write(name+newSuffix, content); err != nil {
+		return err
+	}
+	return l.fs.Rename(name+newSuffix, name)
+}
+
+func (l *Layout) writeJSON(name string, value any) error {
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	return l.replace(path.Join(l.root, name), bytes.NewReader(text))
+}
+
+func (l *Layout) writeIndex(index image.Index) error { return l.writeJSON(image.ImageIndexFile, index) }
+
+// index reads the list of tags.
+func (l *Layout) index() (image.Index, error) {
+	var index image.Index
+	file, err := l.fs.Open(path.Join(l.root, image.ImageIndexFile))
+	if err != nil {
+		return index, err
+	}
+	defer file.Close()
+	text, err := io.ReadAll(io.LimitReader(file, indexMost))
+	if err != nil {
+		return index, err
+	}
+	if err := json.Unmarshal(text, &index); err != nil {
+		return index, fmt.Errorf("%s: %w", image.ImageIndexFile, err)
+	}
+	return index, nil
+}
+
+// tag has a tag name a version.
+func (l *Layout) tag(m *distribution.Manifest, tag string) error {
+	index, err := l.index()
+	if err != nil {
+		return err
+	}
+	var kept []image.Descriptor
+	for _, d := range index.Manifests {
+		if d.Annotations[image.AnnotationRefName] != tag {
+			kept = append(kept, d)
+		}
+	}
+	index.Manifests = append(kept, image.Descriptor{
+		MediaType: image.MediaTypeImageManifest, Digest: m.Digest, Size: int64(len(m.Raw)), Annotations: map[string]string{image.AnnotationRefName: tag},
+	})
+	return l.writeIndex(index)
+}
+
+// Tags gives the version of each tag.
+func (l *Layout) Tags() (map[string]digest.Digest, error) {
+	index, err := l.index()
+	tags := map[string]digest.Digest{}
+	for _, d := range index.Manifests {
+		if tag := d.Annotations[image.AnnotationRefName]; tag != "" {
+			tags[tag] = d.Digest
+		}
+	}
+	return tags, err
+}
+
+// Check reads every byte of every version and names what is missing or damaged.
+func (l *Layout) Check() error {
+	index, err := l.index()
+	if err != nil {
+		return err
+	}
+	var problems []error
+	checked := map[digest.Digest]bool{}
+	for _, d := range index.Manifests {
+		raw, _, err := l.Manifest("", d.Digest.String())
+		if err != nil {
+			problems = append(problems, fmt.Errorf("manifest %s: %w", d.Digest, err))
+			continue
+		}
+		m, err := distribution.ParseManifest(raw, d.Digest)
+		if err != nil {
+			problems = append(problems, fmt.Errorf("manifest %s: %w", d.Digest, err))
+			continue
+		}
+		for _, c := range m.Chunks {
+			if !checked[c.Digest] {
+				checked[c.Digest] = true
+				problems = append(problems, l.checkChunk(c))
+			}
+		}
+	}
+	return errors.Join(problems...)
+}
+
+func (l *Layout) checkChunk(c distribution.Chunk) error {
+	blob, err := l.Blob("", c.Digest)
+	if err != nil {
+		return fmt.Errorf("chunk %s: %w", c.Digest, err)
+	}
+	defer blob.Close()
+	got, err := digest.SHA256.FromReader(blob)
+	if err != nil || got != c.Digest {
+		return errors.Join(err, fmt.Errorf("chunk %s: its bytes have the digest %s", c.Digest, got))
+	}
+	return nil
+}
+
+// Manifest gives a manifest by tag or digest.
+func (l *Layout) Manifest(_, reference string) ([]byte, digest.Digest, error) {
+	d := digest.Digest(reference)
+	if distribution.CheckDigest(d) != nil {
+		tags, err := l.Tags()
+		if err != nil {
+			return nil, "", err
+		}
+		if d = tags[reference]; distribution.CheckDigest(d) != nil {
+			return nil, "", registry.ErrUnknown
+		}
+	}
+	blob, err := l.Blob("", d)
+	if err != nil {
+		return nil, "", err
+	}
+	defer blob.Close()
+	raw, err := io.ReadAll(io.LimitReader(blob, distribution.MaxManifestBytes+1))
+	if err == nil && len(raw) > distribution.MaxManifestBytes {
+		return nil, "", registry.ErrUnknown // a chunk, and no manifest
+	}
+	return raw, d, err
+}
+
+// Blob opens a blob.
+func (l *Layout) Blob(_ string, d digest.Digest) (registry.Blob, error) {
+	if distribution.CheckDigest(d) != nil {
+		return nil, registry.ErrUnknown
+	}
+	file, err := l.fs.Open(l.blobPath(d))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, registry.ErrUnknown
+	}
+	return file, err
+}
+
+// Chunks tells nothing: a store is asked for what it has.
+func (l *Layout) Chunks(digest.Digest) distribution.ChunkSet { return nil }
--- /dev/null
+++ b/internal/distribution/layout/layout_test.go
@@ -0,0 +1,162 @@
+package layout
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/spf13/afero"
+
+	"oakpick/internal/distribution"
+	"oakpick/internal/distribution/registry"
+)
+
+func create(t *testing.T, files afero.Fs) *Layout {
+	t.Helper()
+	l, err := Create(files, "/store")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func pack(t *testing.T, l *Layout, content, tag string) *distribution.Manifest {
+	t.Helper()
+	m, err := l.Pack(strings.NewReader(content), 4, tag)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// What is packed is read back by tag and by digest, the last chunk is what is left, and chunks
+// that two versions share are there once.
+func TestPackedVersionsAreReadBack(t *testing.T) {
+	files := afero.NewMemMapFs()
+	l := create(t, files)
+	first := pack(t, l, "aaaabbbbcc", "v1")
+	second := pack(t, l, "aaaabbbbdddd", "v2")
+	if len(first.Chunks) != 3 || first.Chunks[2].Size != 2 || first.Chunks[1] != second.Chunks[1] {
+		t.Errorf("%+v %+v", first.Chunks, second.Chunks)
+	}
+	again, err := Open(files, "/store")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for reference, want := range map[string]*distribution.Manifest{"v1": first, "v2": second, first.Digest.String(): first} {
+		if raw, d, err := again.Manifest("", reference); err != nil || d != want.Digest || !bytes.Equal(raw, want.Raw) {
+			t.Errorf("%s: %s %v", reference, d, err)
+		}
+	}
+	pack(t, l, "eeee", "v1")
+	if tags, err := l.Tags(); err != nil || len(tags) != 2 || tags["v1"] == first.Digest {
+		t.Errorf("%v %v", tags, err)
+	}
+	if err := l.Check(); err != nil {
+		t.Error(err)
+	}
+	blobs, err := afero.ReadDir(files, "/store/blobs/sha256")
+	if err != nil || len(blobs) != 5+3+1 { // chunks, manifests, the empty configuration
+		t.Errorf("%d blobs, %v", len(blobs), err)
+	}
+}
+
+// A chunk that is damaged or missing is named.
+func TestCheckNamesDamage(t *testing.T) {
+	files := afero.NewMemMapFs()
+	l := create(t, files)
+	m := pack(t, l, "aaaabbbbcc", "v1")
+	if err := afero.WriteFile(files, l.blobPath(m.Chunks[0].Digest), []byte("aaab"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if err := files.Remove(l.blobPath(m.Chunks[2].Digest)); err != nil {
+		t.Fatal(err)
+	}
+	err := l.Check()
+	for i, bad := range []bool{true, false, true} {
+		if named := err != nil && strings.Contains(err.Error(), m.Chunks[i].Digest.String()); named != bad {
+			t.Errorf("chunk %d: named %v in %v", i, named, err)
+		}
+	}
+}
+
+// A source that fails leaves the tag as it was.
+func TestFailedPackChangesNoTag(t *testing.T) {
+	l := create(t, afero.NewMemMapFs())
+	m := pack(t, l, "aaaabbbb", "v1")
+	broken := errors.New("the file can't be read")
+	if _, err := l.Pack(io.MultiReader(strings.NewReader("ccccdd"), iotest.ErrReader(broken)), 4, "v1"); !errors.Is(err, broken) {
+		t.Errorf("%v", err)
+	}
+	if tags, err := l.Tags(); err != nil || tags["v1"] != m.Digest {
+		t.Errorf("%v %v", tags, err)
+	}
+	if err := l.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestBadArgumentsOfPack(t *testing.T) {
+	l := create(t, afero.NewMemMapFs())
+	for field, try := range map[string]func() error{
+		"tag":        func() error { _, err := l.Pack(strings.NewReader("a"), 4, "a/b"); return err },
+		"chunk size": func() error { _, err := l.Pack(strings.NewReader("a"), 0, "v1"); return err },
+		"layers":     func() error { _, err := l.Pack(strings.NewReader(""), 4, "v1"); return err },
+	} {
+		var problem *distribution.FieldError
+		if err := try(); !errors.As(err, &problem) || problem.Field != field {
+			t.Errorf("%v, and %s is at fault", err, field)
+		}
+	}
+	if _, err := Open(afero.NewMemMapFs(), "/nowhere"); err == nil {
+		t.Error("a directory that isn't there is a layout")
+	}
+	other := afero.NewMemMapFs()
+	if err := afero.WriteFile(other, "/store/oci-layout", []byte(`{"imageLayoutVersion":"9"}`), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Create(other, "/store"); err == nil {
+		t.Error("a layout of another version is written to")
+	}
+}
+
+// An agent's client fetches from it on a real disk.
+func TestLayoutIsServed(t *testing.T) {
+	l, err := Create(afero.NewOsFs(), t.TempDir()+"/store")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := pack(t, l, "aaaabbbbcc", "v1")
+	server := httptest.NewServer(&registry.Handler{Content: l, Slots: registry.NewSlots(1)})
+	defer server.Close()
+	client := registry.NewClient(5*time.Second, nil, nil)
+	defer client.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	got, err := client.Resolve(t.Context(), address, "models/a", "v1")
+	if err != nil || got.Digest != m.Digest {
+		t.Fatalf("%v", err)
+	}
+	var whole []byte
+	for _, c := range m.Chunks {
+		fetched := client.Blob(t.Context(), registry.BlobRequest{
+			Address: address, Name: "models/a", Manifest: m.Digest, Chunk: c, Stall: 5 * time.Second, Within: 5 * time.Second,
+		}, func(r io.Reader) {
+			content, err := io.ReadAll(r)
+			if err != nil {
+				t.Error(err)
+			}
+			whole = append(whole, content...)
+		})
+		if fetched.Fault != "" {
+			t.Errorf("%+v", fetched)
+		}
+	}
+	if string(whole) != "aaaabbbbcc" {
+		t.Errorf("%q", whole)
+	}
+}
--- /dev/null
+++ b/internal/distribution/registry/memory.go
@@ -0,0 +1,79 @@
+package registry
+
+import (
+	"bytes"
+	"sync"
+
+	"github.com/opencontainers/go-digest"
+
+	"oakpick/internal/distribution"
+)
+
+// Memory is content in memory, for stand-ins of stores.
+type Memory struct {
+	mu        sync.Mutex
+	manifests map[string]*distribution.Manifest // by digest and by tag
+	blobs     map[digest.Digest][]byte
+}
+
+// NewMemory makes one without content.
+func NewMemory() *Memory {
+	return &Memory{manifests: map[string]*distribution.Manifest{}, blobs: map[digest.Digest][]byte{}}
+}
+
+// Publish makes a version of such chunks, and has tags name it.
+func (m *Memory) Publish(chunks [][]byte, tags ...string) (*distribution.Manifest, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []distribution.Chunk
+	for _, content := range chunks {
+		d := digest.FromBytes(content)
+		m.blobs[d] = content
+		list = append(list, distribution.Chunk{Digest: d, Size: int64(len(content))})
+	}
+	manifest, err := distribution.NewManifest(list)
+	if err != nil {
+		return nil, err
+	}
+	for _, reference := range append(tags, manifest.Digest.String()) {
+		m.manifests[reference] = manifest
+	}
+	return manifest, nil
+}
+
+// Bytes is the content of a blob; nil: there is none.
+func (m *Memory) Bytes(d digest.Digest) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.blobs[d]
+}
+
+// Manifest gives a manifest by tag or digest.
+func (m *Memory) Manifest(_, reference string) ([]byte, digest.Digest, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	manifest := m.manifests[reference]
+	if manifest == nil {
+		return nil, "", ErrUnknown
+	}
+	return manifest.Raw, manifest.Digest, nil
+}
+
+// Blob opens a blob.
+func (m *Memory) Blob(_ string, d digest.Digest) (Blob, error) {
+	content := m.Bytes(d)
+	if content == nil {
+		return nil, ErrUnknown
+	}
+	return BlobOf(content), nil
+}
+
+// Chunks tells nothing: whoever has content in memory has all of it.
+func (m *Memory) Chunks(digest.Digest) distribution.ChunkSet { return nil }
+
+type memoryBlob struct{ *bytes.Reader }
+
+func (memoryBlob) Close() error { return nil }
+
+// BlobOf is a blob of such bytes.
+func BlobOf(content []byte) Blob { return memoryBlob{bytes.NewReader(content)} }
--- a/internal/distribution/registry/registry_test.go
+++ b/internal/distribution/registry/registry_test.go
@@ -16,54 +16,37 @@
 	"oakpick/internal/distribution"
 )
 
-// memory is content for a handler.
-type memory struct {
+// watched is content that tells when a blob is opened, and which chunks there are.
+type watched struct {
+	*Memory
 	manifest *distribution.Manifest
-	blobs    map[digest.Digest][]byte
-	chunks   distribution.ChunkSet
 	opened   func()
 }
 
-type reader struct{ *bytes.Reader }
-
-func (reader) Close() error { return nil }
-
-func (m *memory) Manifest(_, reference string) ([]byte, digest.Digest, error) {
-	if reference != m.manifest.Digest.String() && reference != "v1" {
-		return nil, "", ErrUnknown
-	}
-	return m.manifest.Raw, m.manifest.Digest, nil
-}
-
-func (m *memory) Blob(_ string, d digest.Digest) (Blob, error) {
-	if m.opened != nil {
-		m.opened()
-	}
-	content, ok := m.blobs[d]
-	if !ok {
-		return nil, ErrUnknown
+func (w *watched) Blob(name string, d digest.Digest) (Blob, error) {
+	if w.opened != nil {
+		w.opened()
 	}
-	return reader{bytes.NewReader(content)}, nil
+	return w.Memory.Blob(name, d)
 }
 
-func (m *memory) Chunks(digest.Digest) distribution.ChunkSet { return m.chunks }
+func (w *watched) Chunks(digest.Digest) distribution.ChunkSet { return distribution.ChunkSet{1} }
 
-func serve(t *testing.T, m *memory, slots int) (address string) {
+func serve(t *testing.T, m *watched, slots int) (address string) {
 	t.Helper()
 	server := httptest.NewServer(&Handler{Content: m, Slots: NewSlots(slots), RetryAfter: 3 * time.Second})
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-func content(t *testing.T) (*memory, distribution.Chunk) {
+func content(t *testing.T) (*watched, distribution.Chunk) {
 	t.Helper()
-	text := []byte("0123456789")
-	c := distribution.Chunk{Digest: digest.FromBytes(text), Size: int64(len(text))}
-	m, err := distribution.NewManifest([]distribution.Chunk{c})
+	m := NewMemory()
+	manifest, err := m.Publish([][]byte{[]byte("0123456789")}, "v1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &memory{manifest: m, blobs: map[digest.Digest][]byte{c.Digest: text}, chunks: distribution.ChunkSet{1}}, c
+	return &watched{Memory: m, manifest: manifest}, manifest.Chunks[0]
 }
 
 func fetch(t *testing.T, address string, m *distribution.Manifest, c distribution.Chunk, offset int64) ([]byte, Fetched) {
--- a/internal/distribution/simulation/simulation_test.go
+++ b/internal/distribution/simulation/simulation_test.go
@@ -33,16 +33,8 @@
 func alone(t *testing.T, o Options) time.Duration {
 	t.Helper()
 	o.Agents = 1
-	w := New(o)
-	m := w.Store.Publish(chunks, chunkBytes, nil, 0)
-	w.Use(weights, m.Digest)
-	w.StartAll()
-	took, ok := w.UntilReady(minutes, weights, m.Digest)
-	if !ok {
-		t.Fatalf("one agent alone is not ready: %v", w.Agents[0].HeardWaits)
-	}
-	check(t, w)
-	return took
+	w, m := begin(t, o)
+	return ready(t, w, m)
 }
 
 // Forty agents are ready within twice the time that one alone takes, and the store sends
@@ -51,15 +43,8 @@
 	o := Defaults()
 	o.Agents, o.StoreSlots = 40, 8
 	one := alone(t, o)
-	w := New(o)
-	m := w.Store.Publish(chunks, chunkBytes, nil, 0)
-	w.Use(weights, m.Digest)
-	w.StartAll()
-	took, ok := w.UntilReady(minutes, weights, m.Digest)
-	if !ok {
-		t.Fatal("not all are ready")
-	}
-	check(t, w)
+	w, m := begin(t, o)
+	took := ready(t, w, m)
 	copies := float64(w.Store.SentBytes()) / float64(m.Size)
 	t.Logf("one alone %.1f s, forty %.1f s (%.2f times), store sent %.2f copies", one.Seconds(), took.Seconds(), took.Seconds()/one.Seconds(), copies)
 	if took > 2*one {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -2,6 +2,7 @@
 package logging
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -23,3 +24,10 @@
 	}
 	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level}))
 }
+
+// Fail writes what has ended a program, a line for each problem.
+func Fail(w io.Writer, program string, err error) {
+	for line := range strings.SplitSeq(err.Error(), "\n") {
+		fmt.Fprintf(w, "%s: %s\n", program, line)
+	}
+}
--- a/internal/scale/weights_report.go
+++ b/internal/scale/weights_report.go
@@ -148,7 +148,7 @@
 var (
 	blue   = color.RGBA{R: 30, G: 90, B: 180, A: 255}
 	orange = color.RGBA{R: 230, G: 120, B: 20, A: 255}
-	faint  = color.RGBA{R: 30, G: 90, B: 180, A: 90}
+	faint  = color.NRGBA{R: 30, G: 90, B: 180, A: 90}
 )
 
 func asSVG(p *plot.Plot) (template.HTML, error) {
@@ -218,7 +218,7 @@
 	p.Legend.Add("from peers", below)
 	p.Legend.Add("from the store", above)
 	p.Y.Max *= 1.25 // room for the legend
-	p.Legend.Top = true
+	p.Legend.Top, p.Legend.XOffs = true, -plotWidth/40
 	return p, nil
 }
 
--- a/internal/scale/weights_store.go
+++ b/internal/scale/weights_store.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,9 +21,7 @@
 // specification from memory, with an uplink that all answers share, slots, outages, and
 // answers that are wrong or break off.
 type weightsStore struct {
-	mu        sync.Mutex
-	manifests map[digest.Digest]*distribution.Manifest
-	blobs     map[digest.Digest][]byte
+	*registry.Memory
 
 	uplink *rate.Limiter
 	out    atomic.Bool
@@ -38,7 +35,7 @@
 
 func newWeightsStore(p WeightsParameters) *weightsStore {
 	return &weightsStore{
-		manifests: map[digest.Digest]*distribution.Manifest{}, blobs: map[digest.Digest][]byte{},
+		Memory: registry.NewMemory(),
 		uplink: rate.NewLimiter(rate.Limit(p.StoreRateMB*mebibyte), pacedBytes), rng: rand.New(rand.NewPCG(p.Seed, 3)),
 	}
 }
@@ -48,29 +45,17 @@
 
 // publish makes a version of random chunks, the first of which are those of another.
 func (s *weightsStore) publish(chunks int, size int64, before *distribution.Manifest, kept int) (*distribution.Manifest, error) {
-	var list []distribution.Chunk
+	var contents [][]byte
 	for i := range chunks {
 		if before != nil && i < kept {
-			list = append(list, before.Chunks[i])
+			contents = append(contents, s.Bytes(before.Chunks[i].Digest))
 			continue
 		}
 		content := make([]byte, size)
-		source := rand.NewChaCha8(s.seed())
-		_, _ = source.Read(content) // it never fails
-		d := digest.FromBytes(content)
-		s.mu.Lock()
-		s.blobs[d] = content
-		s.mu.Unlock()
-		list = append(list, distribution.Chunk{Digest: d, Size: size})
+		_, _ = rand.NewChaCha8(s.seed()).Read(content) // it never fails
+		contents = append(contents, content)
 	}
-	m, err := distribution.NewManifest(list)
-	if err != nil {
-		return nil, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.manifests[m.Digest] = m
-	return m, nil
+	return s.Publish(contents)
 }
 
 func (s *weightsStore) seed() (seed [32]byte) {
@@ -83,40 +68,20 @@
 // sum is the digest of all bytes of a version in their order.
 func (s *weightsStore) sum(m *distribution.Manifest) digest.Digest {
 	hash := digest.SHA256.Digester()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, c := range m.Chunks {
-		_, _ = hash.Hash().Write(s.blobs[c.Digest]) // it never fails
+		_, _ = hash.Hash().Write(s.Bytes(c.Digest)) // it never fails
 	}
 	return hash.Digest()
 }
 
-func (s *weightsStore) Manifest(_, reference string) ([]byte, digest.Digest, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m := s.manifests[digest.Digest(reference)]
-	if m == nil {
-		return nil, "", registry.ErrUnknown
-	}
-	return m.Raw, m.Digest, nil
-}
-
-type blobReader struct{ *bytes.Reader }
-
-func (blobReader) Close() error { return nil }
-
-func (s *weightsStore) Blob(_ string, d digest.Digest) (registry.Blob, error) {
-	s.mu.Lock()
-	content := s.blobs[d]
-	s.mu.Unlock()
-	if content == nil {
-		return nil, registry.ErrUnknown
-	}
-	if takeOne(&s.wrong) {
+// Blob opens a chunk, with wrong bytes if some are to be sent.
+func (s *weightsStore) Blob(name string, d digest.Digest) (registry.Blob, error) {
+	if content := s.Bytes(d); content != nil && takeOne(&s.wrong) {
 		content = bytes.Clone(content)
 		content[len(content)/2] ^= 1
+		return registry.BlobOf(content), nil
 	}
-	return blobReader{bytes.NewReader(content)}, nil
+	return s.Memory.Blob(name, d)
 }
 
 // takeOne takes one of what is left, if there is any.
@@ -129,8 +94,6 @@
 	return false
 }
 
-func (s *weightsStore) Chunks(digest.Digest) distribution.ChunkSet { return nil }
-
 // serve listens until it is closed.
 func (s *weightsStore) serve(address string, slots int) error {
 	listener, err := net.Listen("tcp4", address)
--- a/internal/scale/weights_test.go
+++ b/internal/scale/weights_test.go
@@ -48,7 +48,7 @@
 	if err := r.WriteTable(&table); err != nil || !strings.Contains(table.String(), "median ratio") {
 		t.Errorf("%v %s", err, table.String())
 	}
-	if err := r.WriteHTML(&page); err != nil || strings.Count(page.String(), "<svg") != 3 {
+	if err := r.WriteHTML(&page); err != nil || strings.Count(page.String(), "<svg") != 3 || !strings.Contains(page.String(), "stroke-opacity") {
 		t.Errorf("%v, %d plots", err, strings.Count(page.String(), "<svg"))
 	}
 	if err := r.WriteJSON(&text); err != nil || !strings.Contains(text.String(), "store_copies") {
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -111,41 +111,11 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
 	client, wait := c.calls, c.wait
-	uri := "http://" + client.Addr
-	switch call.Op {
-	case StateGet:
-		uri += protocol.PathKV + "/" + call.Key
-	case StateList:
-		args := fasthttp.AcquireArgs()
-		args.Set("starts", call.Key)
-		if call.After != "" {
-			args.Set("after", call.After)
-		}
-		args.Set("limit", strconv.Itoa(cmp.Or(call.Most, listEntries)))
-		uri += protocol.PathKV + "?" + args.String()
-		fasthttp.ReleaseArgs(args)
-	case StateTxn:
-		uri += protocol.PathTxn
-		req.SetBody(protocol.Encode(call.Txn))
-	case StateGrant:
-		uri += protocol.PathGrants
-		req.SetBody(protocol.Encode(protocol.GrantRequest{TTLms: call.TTL.Milliseconds()}))
-	case StateRenew:
-		uri += protocol.RenewPath(call.Lease)
-		client, wait = c.renewals, c.renewWait
-	case StateRevoke:
-		uri += protocol.GrantPath(call.Lease)
+	if call.Op == StateRenew || call.Op == StateRevoke {
 		client, wait = c.renewals, c.renewWait
 	}
-	switch call.Op {
-	case StateGet, StateList:
-	case StateRevoke:
-		req.Header.SetMethod(fasthttp.MethodDelete)
-	default:
-		req.Header.SetMethod(fasthttp.MethodPost)
-		req.Header.SetContentType(protocol.ContentType)
-	}
-	req.SetRequestURI(uri)
+	req.SetRequestURI("http://" + client.Addr + call.path())
+	call.write(req)
 	r := StateResult{ID: call.ID}
 	if err := client.DoTimeout(req, res, wait); err != nil {
 		r.Outcome = Failure(err)
@@ -158,6 +128,53 @@
 	return r
 }
 
+// path is where a call goes.
+func (call *StateCall) path() string {
+	switch call.Op {
+	case StateGet:
+		return protocol.PathKV + "/" + call.Key
+	case StateList:
+		return protocol.PathKV + "?" + call.listQuery()
+	case StateTxn:
+		return protocol.PathTxn
+	case StateGrant:
+		return protocol.PathGrants
+	case StateRenew:
+		return protocol.RenewPath(call.Lease)
+	default:
+		return protocol.GrantPath(call.Lease)
+	}
+}
+
+// listQuery asks for the part of a list behind a key.
+func (call *StateCall) listQuery() string {
+	args := fasthttp.AcquireArgs()
+	defer fasthttp.ReleaseArgs(args)
+	args.Set("starts", call.Key)
+	if call.After != "" {
+		args.Set("after", call.After)
+	}
+	args.Set("limit", strconv.Itoa(cmp.Or(call.Most, listEntries)))
+	return args.String()
+}
+
+// write sets the method and the body of a call's request.
+func (call *StateCall) write(req *fasthttp.Request) {
+	switch call.Op {
+	case StateGet, StateList:
+		return
+	case StateRevoke:
+		req.Header.SetMethod(fasthttp.MethodDelete)
+		return
+	case StateTxn:
+		req.SetBody(protocol.Encode(call.Txn))
+	case StateGrant:
+		req.SetBody(protocol.Encode(protocol.GrantRequest{TTLms: call.TTL.Milliseconds()}))
+	}
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType(protocol.ContentType)
+}
+
 func (r *StateResult) read(op StateOp, body []byte) {
 	var err error
 	switch op {
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -1,3 +1,5 @@
+// Package transport carries messages: the users' and workers' front, the
+// streams between controllers, and the clients of workers, cloud and peers.
 package transport
 
 import (
