Weights run: faults wait for a leader and are told in the report

Cause: a fault that met no leader was left out without a word, and one that asked who holds what while a leader had just ended failed the run. Change: both wait, and the report lists the faults that were applied; the small run in go test asserts all five.

--- a/internal/scale/weights_agents.go
+++ b/internal/scale/weights_agents.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,7 +30,7 @@
 	dir      string
 	command  []string
 	process  *process
-	gone     bool // killed or stopped for good: it need not be ready
+	gone     atomic.Bool // killed or stopped for good: it need not be ready
 	client   *http.Client
 }
 
@@ -133,7 +134,7 @@
 func each(agents []*agentProcess, do func(a *agentProcess) error) error {
 	var group errgroup.Group
 	for _, a := range agents {
-		if !a.gone {
+		if !a.gone.Load() {
 			group.Go(func() error { return do(a) })
 		}
 	}
--- a/internal/scale/weights_report.go
+++ b/internal/scale/weights_report.go
@@ -43,7 +43,8 @@
 	FromStoreMB map[string]float64 `json:"from_store_mb"`
 	FetchedMB   float64            `json:"fetched_mb"` // by all agents
 	Progress    []Progress         `json:"progress"`
-	Failed      []string           `json:"failed,omitempty"`
+	Applied     []string           `json:"faults_applied,omitempty"` // in the order in which they were over
+	Failed      []string           `json:"failed,omitempty"`         // agents
 	Ended       []string           `json:"ended_by_themselves,omitempty"`
 
 	MemoryMB             float64 `json:"agent_memory_mb"` // the largest, after the fetch
--- a/internal/scale/weights_run.go
+++ b/internal/scale/weights_run.go
@@ -358,7 +358,7 @@
 	}
 }
 
-// fault brings a fault about at its time.
+// fault brings a fault about at its time, unless all are ready before.
 func (r *weightsRun) fault(ctx context.Context, f timedFault, alone time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -366,17 +366,22 @@
 	case <-time.After(time.Duration(f.at * float64(alone))):
 	}
 	r.say("fault: %s", f.kind)
-	switch f.kind {
+	err := r.apply(ctx, f.kind, alone)
+	if err != nil {
+		return fmt.Errorf("fault %s: %w", f.kind, err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Applied = append(r.report.Applied, fmt.Sprintf("%s@%g", f.kind, f.at))
+	return nil
+}
+
+func (r *weightsRun) apply(ctx context.Context, kind string, alone time.Duration) error {
+	switch kind {
 	case faultKill, faultHang, faultRestart:
-		return r.failAgent(ctx, f.kind)
+		return r.failAgent(ctx, kind)
 	case faultLeader:
-		leader := r.play.controllers.leader()
-		if leader < 0 {
-			return nil
-		}
-		r.play.controllers.kill(leader)
-		time.Sleep(time.Second)
-		return r.play.controllers.start(leader)
+		return r.failLeader(ctx)
 	case faultStore:
 		r.store.out.Store(true)
 		defer r.store.out.Store(false)
@@ -394,15 +399,35 @@
 	return nil
 }
 
+// failLeader kills the controller that leads, and starts it again a second later.
+func (r *weightsRun) failLeader(ctx context.Context) error {
+	leader := -1
+	err := r.until(ctx, time.Minute, "nobody leads", func() bool {
+		leader = r.play.controllers.leader()
+		return leader >= 0
+	})
+	if err != nil {
+		return err
+	}
+	r.play.controllers.kill(leader)
+	time.Sleep(time.Second)
+	return r.play.controllers.start(leader)
+}
+
 // failAgent fails the agent that holds most without holding all.
 func (r *weightsRun) failAgent(ctx context.Context, kind string) error {
-	status, err := r.operator.Status(ctx, fleetName)
+	var status tracker.Status
+	err := r.until(ctx, time.Minute, "no controller tells who holds what", func() bool {
+		var err error
+		status, err = r.operator.Status(ctx, fleetName)
+		return err == nil && len(status.Members) > 0
+	})
 	if err != nil {
-		return fmt.Errorf("fault %s: %w", kind, err)
+		return err
 	}
 	partly := slices.DeleteFunc(status.Members, func(m tracker.AgentStatus) bool { return m.Total > 0 && m.Chunks == m.Total })
 	if len(partly) == 0 {
-		return fmt.Errorf("fault %s: every agent holds all already", kind)
+		return errors.New("every agent holds all already")
 	}
 	most := slices.MaxFunc(partly, func(a, b tracker.AgentStatus) int { return a.Chunks - b.Chunks })
 	i := slices.IndexFunc(r.agents, func(a *agentProcess) bool { return a.settings.Agent == most.Agent })
@@ -410,7 +435,7 @@
 	r.mu.Lock()
 	r.report.Failed = append(r.report.Failed, fmt.Sprintf("%s %s with %d of %d chunks", kind, most.Agent, most.Chunks, most.Total))
 	r.mu.Unlock()
-	a.gone = kind != faultRestart
+	a.gone.Store(kind != faultRestart)
 	if kind == faultHang {
 		a.stop()
 		return nil
--- a/internal/scale/weights_test.go
+++ b/internal/scale/weights_test.go
@@ -38,6 +38,9 @@
 		t.Fatalf("%+v", r)
 	}
 	run := r.Runs[0]
+	if len(run.Applied) != len(p.Faults) {
+		t.Errorf("of the faults %v these were applied: %v", p.Faults, run.Applied)
+	}
 	if run.Verified != p.Agents-len(run.Failed) || len(run.Failed) != 1 || run.AloneS <= 0 || run.FromStoreS <= 0 || run.StoreCopies <= 0 {
 		t.Errorf("%+v", run)
 	}
