Tracker: a queued change is not told while the term is in doubt

Cause, found when the change was read once more: of two operators who ask for the same change the second was answered 200 from the leader's memory although the term was in doubt by then, and another leader may have replaced the record. Change: both answers go one way, which asks whether the term is certain. TestQueuedChangeIsNotToldInDoubt fails without it.

--- a/internal/distribution/tracker/model_test.go
+++ b/internal/distribution/tracker/model_test.go
@@ -404,6 +404,24 @@
 	}
 }
 
+// Two operators ask for the same change, and the write's answer comes when the term is in
+// doubt: neither is told that it holds, since another leader may have replaced it by then.
+func TestQueuedChangeIsNotToldInDoubt(t *testing.T) {
+	x, term, state := leading(t)
+	effects := x.Step(0, term, []Command{UseCall{1, "x", manifests[0]}, UseCall{2, "x", manifests[0]}})
+	result := StateResult{state.execute(effects[0].(StateCall).StateCall)}
+	term.Until = time.Second
+	statuses := map[uint64]int{}
+	for _, e := range x.Step(2*time.Second, term, []Command{result}) {
+		if r, ok := e.(Reply); ok {
+			statuses[r.ID] = r.Status
+		}
+	}
+	if statuses[1] != http.StatusServiceUnavailable || statuses[2] != http.StatusServiceUnavailable {
+		t.Errorf("%v", statuses)
+	}
+}
+
 // A source that two takers accuse of damage is given to nobody, one accuser's is only kept
 // from that one, and a new session is believed again.
 func TestAccusedSourcesAreNotGiven(t *testing.T) {
--- a/internal/distribution/tracker/names.go
+++ b/internal/distribution/tracker/names.go
@@ -228,11 +228,7 @@
 // done answers the first change and begins the next.
 func (n *names) done(r distribution.NameRecord) {
 	n.set(r)
-	if !n.t.certain() {
-		n.t.refuse(n.queue[0].ID, http.StatusServiceUnavailable, "the term is in doubt")
-	} else {
-		n.t.reply(n.queue[0].ID, r)
-	}
+	n.tell(n.queue[0].ID, r)
 	n.t.emit(Log{"weights changed", []any{"name", r.Name, "manifest", r.Manifest.String(), "revision", r.Revision}})
 	n.next()
 }
@@ -246,7 +242,16 @@
 			n.writeFirst()
 			return
 		}
-		n.t.reply(c.ID, n.records[c.Name])
+		n.tell(c.ID, n.records[c.Name])
 		n.queue = n.queue[1:]
 	}
 }
+
+// tell answers with a record that is durable, unless another controller may have replaced it.
+func (n *names) tell(id uint64, r distribution.NameRecord) {
+	if n.t.certain() {
+		n.t.reply(id, r)
+		return
+	}
+	n.t.refuse(id, http.StatusServiceUnavailable, "the term is in doubt")
+}
