Clean-up after reading the change: one piece of code where logic stood twice

Writing and renaming files durably stood in the chunk store and, without the directory's sync, in the image layout: internal/durable serves both. What is loaded when an agent starts, and what a write's error says of a source, stood in the agent and in the simulation: agent.Load and agent.WriteFault. The tracker's term is the coordination package's type, not a copy. Four makers of validators are config.NewValidator. Dead state is gone: whether the tracker was down, which nobody read, and a second name for one duration. No bound, check or assertion has changed; a layout's renames are now synced.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -147,7 +147,7 @@
 		}
 		return nil, fmt.Errorf("settings: not JSON: %w", err)
 	}
-	v := newValidator("json")
+	v := NewValidator("json")
 	var problems []error
 	var fields validator.ValidationErrors
 	if err := v.Struct(&c); errors.As(err, &fields) {
--- a/internal/config/toml.go
+++ b/internal/config/toml.go
@@ -31,7 +31,7 @@
 	for _, key := range read.Undecoded() {
 		problems = append(problems, fmt.Errorf("%s: %s: unknown key", name, key))
 	}
-	v := newValidator("toml")
+	v := NewValidator("toml")
 	var fields validator.ValidationErrors
 	if err := v.Struct(into); errors.As(err, &fields) {
 		for _, f := range fields {
@@ -44,8 +44,8 @@
 	return errors.Join(problems...)
 }
 
-// newValidator makes one that names fields as a file does, by such a tag.
-func newValidator(tag string) *validator.Validate {
+// NewValidator makes one that names fields as a file does, by such a tag.
+func NewValidator(tag string) *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string {
 		name, _, _ := strings.Cut(f.Tag.Get(tag), ",")
--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -38,11 +37,7 @@
 	}
 }
 
-var optionRules = sync.OnceValue(func() *validator.Validate {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("json") })
-	return v
-})
+var optionRules = sync.OnceValue(func() *validator.Validate { return config.NewValidator("json") })
 
 // With changes the figures that a JSON object names, and checks them.
 func (o Options) With(patch []byte) (Options, error) {
--- a/internal/daemon/tracker.go
+++ b/internal/daemon/tracker.go
@@ -34,8 +34,7 @@
 	nextID   uint64
 	term     atomic.Pointer[coordination.TermView]
 	limit    *transport.Limit
-	wait     time.Duration // for which a request may take
-	report   time.Duration
+	report   time.Duration // for which a request may take, too
 	metrics  *trackerMetrics
 }
 
@@ -76,7 +75,7 @@
 	report, idle := config.Seconds(settings.ReportS), config.Seconds(settings.IdleReportS)
 	t := &trackerService{
 		d: d, listener: listener, queue: make(chan trackerItem, trackerQueue), waits: map[uint64]trackerItem{},
-		wait: report, report: report,
+		report: report,
 		tracker: tracker.New(tracker.Parameters{
 			Report: report, IdleReport: idle, Retry: config.Seconds(d.cfg.Settings.Workers.Report / 20), StoreSlots: settings.StoreSlots,
 			Zones: d.cfg.Settings.Zones, Boot: fmt.Sprintf("%s-%x", d.cfg.Node, seed[:8]), Seed: binary.LittleEndian.Uint64(seed[8:]),
@@ -117,8 +116,6 @@
 	}
 }
 
-func (t *trackerService) now() time.Duration { return time.Since(t.d.began) }
-
 // own is the owner's loop.
 func (t *trackerService) own() {
 	tick := time.NewTicker(t.report / trackerTicks)
@@ -134,9 +131,8 @@
 			commands = append(commands, t.accept(it))
 		}
 		commands = t.drain(commands)
-		v := t.term.Load()
 		began := time.Now()
-		effects := t.tracker.Step(t.now(), tracker.Term{Reign: v.Reign, Token: v.Token, Until: v.Until, Leader: v.Leader}, commands)
+		effects := t.tracker.Step(time.Since(t.d.began), *t.term.Load(), commands)
 		t.metrics.stepped(time.Since(began), t.tracker)
 		for _, e := range effects {
 			t.perform(e)
@@ -200,7 +196,7 @@
 
 // forward hands a request to the controller that leads.
 func (t *trackerService) forward(peer string, r trackerRequest) coordination.Reply {
-	ctx, cancel := context.WithTimeout(t.d.ctx, t.wait)
+	ctx, cancel := context.WithTimeout(t.d.ctx, t.report)
 	defer cancel()
 	path := r.path
 	if r.query != "" {
@@ -257,7 +253,7 @@
 
 // do hands a command to the owner and waits for the reply.
 func (t *trackerService) do(command func(id uint64) tracker.Command, r trackerRequest) coordination.Reply {
-	timer := time.NewTimer(t.wait)
+	timer := time.NewTimer(t.report)
 	defer timer.Stop()
 	it := trackerItem{command: command, request: r, reply: make(chan coordination.Reply, 1)}
 	select {
--- a/internal/distribution/agent/agent.go
+++ b/internal/distribution/agent/agent.go
@@ -89,11 +89,11 @@
 	if err != nil {
 		return nil, err
 	}
-	found, err := store.Scan()
+	stored, err := Load(store, settings.Names)
 	if err != nil {
 		return nil, err
 	}
-	for _, d := range found.Damaged {
+	for _, d := range stored.Damaged {
 		log.Warn("a stored chunk was damaged and is fetched anew", "chunk", d.String())
 	}
 	session, err := store.NextSession(time.Now().UnixMilli())
@@ -104,16 +104,6 @@
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, err
 	}
-	stored := Stored{Chunks: found.Chunks, Partial: found.Partial, Manifests: found.Manifests, Active: map[string]distribution.ActiveVersion{}}
-	for _, n := range settings.Names {
-		active, err := store.Active(n)
-		if err != nil && !errors.Is(err, chunkstore.ErrUnknown) {
-			return nil, err
-		}
-		if err == nil {
-			stored.Active[n] = active
-		}
-	}
 	core := NewCore(settings.core(session, binary.LittleEndian.Uint64(seed[:])), stored)
 	a := &Agent{
 		settings: settings, log: log, store: store, core: core, began: time.Now(),
@@ -296,18 +286,10 @@
 	}, func(body io.Reader) {
 		r.Received, r.Partial, stored = a.store.Write(e.Chunk, e.Offset, body)
 	})
-	r.Chunks, r.RetryAfter, r.Fault = fetched.Chunks, fetched.RetryAfter, fetched.Fault
-	var disk *chunkstore.DiskError
-	switch {
-	case errors.As(stored, &disk):
+	r.Chunks, r.RetryAfter = fetched.Chunks, fetched.RetryAfter
+	r.Fault = WriteFault(stored, r.Received, fetched.Fault)
+	if r.Fault == distribution.FaultDisk {
 		a.disk(stored)
-		r.Fault = distribution.FaultDisk
-	case errors.Is(stored, chunkstore.ErrDamaged):
-		r.Fault = distribution.FaultDamaged
-	case stored != nil && r.Fault == "":
-		r.Fault = distribution.FaultUnreachable
-	case stored == nil && r.Received > 0:
-		r.Fault = "" // it is whole, whatever came behind
 	}
 	r.Cancelled = r.Fault != "" && ctx.Err() != nil
 	return r
--- a/internal/distribution/agent/core.go
+++ b/internal/distribution/agent/core.go
@@ -26,19 +26,18 @@
 	fetches  map[uint64]*fetch
 	nextID   uint64
 
-	used        int64 // bytes on disk, with what is still to come of fetches
-	diskUntil   time.Duration
-	diskFailed  int
-	overBudget  bool
-	rechecked   map[digest.Digest]time.Duration
-	faults      []distribution.SourceFault
-	term        int64
-	sequence    int64
-	reporting   bool
-	reportAt    time.Duration
-	every       time.Duration // between reports, by the tracker's last word
-	trackerDown bool
-	counts      CoreCounts
+	used       int64 // bytes on disk, with what is still to come of fetches
+	diskUntil  time.Duration
+	diskFailed int
+	overBudget bool
+	rechecked  map[digest.Digest]time.Duration
+	faults     []distribution.SourceFault
+	term       int64
+	sequence   int64
+	reporting  bool
+	reportAt   time.Duration
+	every      time.Duration // between reports, by the tracker's last word
+	counts     CoreCounts
 }
 
 // CoreCounts are of all that an agent has done.
@@ -73,6 +72,9 @@
 	begunAt   time.Duration // when a fetch last began, but for other stripes of the store
 }
 
+// whole tells whether every chunk is held.
+func (v *version) whole() bool { return v.count == len(v.Manifest.Chunks) }
+
 // chunk is a part of one or more versions.
 type chunk struct {
 	distribution.Chunk
@@ -183,7 +185,7 @@
 
 // answered takes in the tracker's answer.
 func (c *Core) answered(a distribution.Answer) {
-	c.reporting, c.trackerDown = false, false
+	c.reporting = false
 	c.every = min(max(time.Duration(a.NextMs)*time.Millisecond, c.settings.Report/16), c.settings.Report*16)
 	c.reportAt = c.now + c.every
 	if a.Term < c.term {
@@ -201,7 +203,7 @@
 
 // trackerFailed goes on with what is known, and asks again after a while.
 func (c *Core) trackerFailed(e TrackerFailed) {
-	c.reporting, c.trackerDown = false, true
+	c.reporting = false
 	c.reportAt = c.now + c.jitter(max(e.RetryAfter, c.settings.Report/2))
 }
 
@@ -268,7 +270,7 @@
 	case v == nil:
 		w.Why = "nobody has given the manifest yet"
 		return w
-	case v.count == len(v.Manifest.Chunks):
+	case v.whole():
 		w.Why = "all chunks are there, activation is under way"
 		return w
 	}
--- a/internal/distribution/agent/core_fetch.go
+++ b/internal/distribution/agent/core_fetch.go
@@ -23,7 +23,7 @@
 	c.overBudget = false
 	for _, n := range c.targets {
 		v := c.versions[n.wanted]
-		if v == nil || v.count == len(v.Manifest.Chunks) {
+		if v == nil || v.whole() {
 			continue
 		}
 		c.fetchVersion(n, v)
--- a/internal/distribution/agent/core_messages.go
+++ b/internal/distribution/agent/core_messages.go
@@ -9,6 +9,7 @@
 	"github.com/opencontainers/go-digest"
 
 	"oakpick/internal/distribution"
+	"oakpick/internal/distribution/chunkstore"
 )
 
 // Event is what goes into Core.Step.
@@ -169,8 +170,6 @@
 
 // Stored is what is on disk when an agent starts.
 type Stored struct {
-	Chunks    map[digest.Digest]int64 // verified, with their sizes
-	Partial   map[digest.Digest]int64 // bytes that are kept of chunks that aren't whole
-	Manifests []*distribution.Manifest
-	Active    map[string]distribution.ActiveVersion // by name
+	chunkstore.Contents
+	Active map[string]distribution.ActiveVersion // by name
 }
--- a/internal/distribution/agent/core_test.go
+++ b/internal/distribution/agent/core_test.go
@@ -9,6 +9,7 @@
 	"github.com/opencontainers/go-digest"
 
 	"oakpick/internal/distribution"
+	"oakpick/internal/distribution/chunkstore"
 )
 
 const name = "models/a" // of the weights
@@ -97,8 +98,8 @@
 func TestRevisionOutlivesTheProcess(t *testing.T) {
 	first, second := manifestOf(t, "1", 1), manifestOf(t, "2", 1)
 	c := newCore(Stored{
-		Chunks: map[digest.Digest]int64{second.Chunks[0].Digest: 100}, Manifests: []*distribution.Manifest{second},
-		Active: map[string]distribution.ActiveVersion{name: {Manifest: second.Digest, Revision: 9}},
+		Contents: chunkstore.Contents{Chunks: map[digest.Digest]int64{second.Chunks[0].Digest: 100}, Manifests: []*distribution.Manifest{second}},
+		Active:   map[string]distribution.ActiveVersion{name: {Manifest: second.Digest, Revision: 9}},
 	})
 	if got := c.Step(0, answer(7, first)); len(of[GetManifest](got)) != 0 || c.Active(name) != second.Digest {
 		t.Errorf("%+v", got)
@@ -247,8 +248,8 @@
 func TestEviction(t *testing.T) {
 	old, active, wanted := manifestOf(t, "old", 3), manifestOf(t, "active", 3), manifestOf(t, "wanted", 3)
 	stored := Stored{
-		Chunks: map[digest.Digest]int64{}, Manifests: []*distribution.Manifest{old, active},
-		Active: map[string]distribution.ActiveVersion{name: {Manifest: active.Digest, Revision: 1}},
+		Contents: chunkstore.Contents{Chunks: map[digest.Digest]int64{}, Manifests: []*distribution.Manifest{old, active}},
+		Active:   map[string]distribution.ActiveVersion{name: {Manifest: active.Digest, Revision: 1}},
 	}
 	for _, m := range []*distribution.Manifest{old, active} {
 		for _, x := range m.Chunks {
@@ -365,7 +366,7 @@
 // use stay.
 func TestFullDiskEvictsOldChunks(t *testing.T) {
 	old, wanted := manifestOf(t, "old", 3), manifestOf(t, "wanted", 3)
-	stored := Stored{Chunks: map[digest.Digest]int64{}, Manifests: []*distribution.Manifest{old}}
+	stored := Stored{Contents: chunkstore.Contents{Chunks: map[digest.Digest]int64{}, Manifests: []*distribution.Manifest{old}}}
 	for _, x := range old.Chunks {
 		stored.Chunks[x.Digest] = 100
 	}
--- a/internal/distribution/agent/core_versions.go
+++ b/internal/distribution/agent/core_versions.go
@@ -54,7 +54,7 @@
 		case n.wanted == "":
 		case v == nil:
 			c.askManifest(n)
-		case v.count == len(v.Manifest.Chunks) && n.active != n.wanted && !n.activating && c.now >= n.activateAt:
+		case v.whole() && n.active != n.wanted && !n.activating && c.now >= n.activateAt:
 			n.activating = true
 			c.emit(Activate{n.name, n.revision, n.wanted})
 		}
--- a/internal/distribution/chunkstore/scan.go
+++ b/internal/distribution/chunkstore/scan.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"oakpick/internal/distribution"
+	"oakpick/internal/durable"
 )
 
 // Contents is what was found on disk.
@@ -81,7 +82,7 @@
 	out := map[digest.Digest]int64{}
 	for _, e := range entries {
 		d := digest.NewDigestFromEncoded(digest.SHA256, e.Name())
-		if !strings.HasSuffix(e.Name(), newSuffix) && distribution.CheckDigest(d) == nil {
+		if !strings.HasSuffix(e.Name(), durable.NewSuffix) && distribution.CheckDigest(d) == nil {
 			out[d] = e.Size()
 		}
 	}
--- a/internal/distribution/chunkstore/store.go
+++ b/internal/distribution/chunkstore/store.go
@@ -4,6 +4,7 @@
 package chunkstore
 
 import (
+	"bytes"
 	"errors"
 	"hash"
 	"io"
@@ -16,6 +17,7 @@
 	"github.com/spf13/afero"
 
 	"oakpick/internal/distribution"
+	"oakpick/internal/durable"
 )
 
 // Directories below the root.
@@ -25,8 +27,6 @@
 	manifestsDir = "manifests"
 	activeDir    = "active"
 	sessionFile  = "session"
-
-	newSuffix = ".new"
 )
 
 // ErrDamaged says that a chunk's bytes don't have its digest.
@@ -99,7 +99,7 @@
 		}
 		return received, 0, ErrDamaged
 	}
-	if err := errors.Join(file.Sync(), s.rename(name, s.path(chunksDir, chunk.Digest))); err != nil {
+	if err := errors.Join(file.Sync(), durable.Rename(s.fs, name, s.path(chunksDir, chunk.Digest))); err != nil {
 		return received, kept, &DiskError{err}
 	}
 	return received, 0, nil
@@ -134,30 +134,9 @@
 	return n, err
 }
 
-// rename moves a file, and returns once that is durable.
-func (s *Store) rename(from, to string) error {
-	if err := s.fs.Rename(from, to); err != nil {
-		return err
-	}
-	dir, err := s.fs.Open(path.Dir(to))
-	if err != nil {
-		return err
-	}
-	defer dir.Close()
-	return dir.Sync()
-}
-
 // replace writes a small file in one step.
 func (s *Store) replace(name string, content []byte) error {
-	file, err := s.fs.Create(name + newSuffix)
-	if err != nil {
-		return &DiskError{err}
-	}
-	_, err = file.Write(content)
-	if err = errors.Join(err, file.Sync(), file.Close()); err != nil {
-		return &DiskError{err}
-	}
-	if err := s.rename(name+newSuffix, name); err != nil {
+	if err := durable.Replace(s.fs, name, bytes.NewReader(content)); err != nil {
 		return &DiskError{err}
 	}
 	return nil
--- a/internal/distribution/layout/layout.go
+++ b/internal/distribution/layout/layout.go
@@ -18,11 +18,11 @@
 
 	"oakpick/internal/distribution"
 	"oakpick/internal/distribution/registry"
+	"oakpick/internal/durable"
 )
 
 const (
 	blobsDir  = "blobs"
-	newSuffix = ".new"
 	indexMost = 16 << 20 // bytes of the index that are read
 )
 
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	for d, content := range map[digest.Digest][]byte{m.Digest: m.Raw, image.DescriptorEmptyJSON.Digest: image.DescriptorEmptyJSON.Data} {
-		if err := l.replace(l.blobPath(d), bytes.NewReader(content)); err != nil {
+		if err := durable.Replace(l.fs, l.blobPath(d), bytes.NewReader(content)); err != nil {
 			return nil, err
 		}
 	}
@@ -100,32 +100,14 @@
 
 // packChunk writes what a source gives as a blob; one without bytes is none.
 func (l *Layout) packChunk(source io.Reader) (distribution.Chunk, error) {
-	name := path.Join(l.root, blobsDir, "chunk"+newSuffix)
+	name := path.Join(l.root, blobsDir, "chunk"+durable.NewSuffix)
 	sum := digest.SHA256.Digester()
-	size, err := l.write(name, io.TeeReader(source, sum.Hash()))
+	size, err := durable.Write(l.fs, name, io.TeeReader(source, sum.Hash()))
 	if err != nil || size == 0 {
 		return distribution.Chunk{}, errors.Join(err, l.fs.Remove(name))
 	}
 	chunk := distribution.Chunk{Digest: sum.Digest(), Size: size}
-	return chunk, l.fs.Rename(name, l.blobPath(chunk.Digest))
-}
-
-// write writes a file and returns once that is durable.
-func (l *Layout) write(name string, content io.Reader) (size int64, err error) {
-	file, err := l.fs.Create(name)
-	if err != nil {
-		return 0, err
-	}
-	size, err = io.Copy(file, content)
-	return size, errors.Join(err, file.Sync(), file.Close())
-}
-
-// replace writes a file in one step.
-func (l *Layout) replace(name string, content io.Reader) error {
-	if _, err := l.write(name+newSuffix, content); err != nil {
-		return err
-	}
-	return l.fs.Rename(name+newSuffix, name)
+	return chunk, durable.Rename(l.fs, name, l.blobPath(chunk.Digest))
 }
 
 func (l *Layout) writeJSON(name string, value any) error {
@@ -133,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	return l.replace(path.Join(l.root, name), bytes.NewReader(text))
+	return durable.Replace(l.fs, path.Join(l.root, name), bytes.NewReader(text))
 }
 
 func (l *Layout) writeIndex(index image.Index) error { return l.writeJSON(image.ImageIndexFile, index) }
--- a/internal/distribution/messages.go
+++ b/internal/distribution/messages.go
@@ -4,11 +4,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"reflect"
 	"regexp"
 	"strings"
 	"sync"
 
+	"oakpick/internal/config"
+
 	"github.com/go-playground/validator/v10"
 	"github.com/opencontainers/go-digest"
 )
@@ -153,11 +154,7 @@
 }
 
 var rules = sync.OnceValue(func() *validator.Validate {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string {
-		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
-		return name
-	})
+	v := config.NewValidator("json")
 	register := func(tag string, check func(string) error) {
 		err := v.RegisterValidation(tag, func(f validator.FieldLevel) bool { return check(f.Field().String()) == nil })
 		if err != nil {
--- a/internal/distribution/simulation/agent.go
+++ b/internal/distribution/simulation/agent.go
@@ -81,17 +81,11 @@
 		a.w.fail("%s: %v", a.Name, err)
 		return
 	}
-	found, err := store.Scan()
+	stored, err := agent.Load(store, a.w.Options.Names)
 	if err != nil {
 		a.w.fail("%s: %v", a.Name, err)
 		return
 	}
-	stored := agent.Stored{Chunks: found.Chunks, Partial: found.Partial, Manifests: found.Manifests, Active: map[string]distribution.ActiveVersion{}}
-	for _, n := range a.w.Options.Names {
-		if active, err := store.Active(n); err == nil {
-			stored.Active[n] = active
-		}
-	}
 	a.life++
 	report := a.w.report()
 	a.core = agent.NewCore(agent.CoreSettings{
--- a/internal/distribution/simulation/transfer.go
+++ b/internal/distribution/simulation/transfer.go
@@ -2,13 +2,10 @@
 
 import (
 	"bytes"
-	"errors"
-	"io"
 	"time"
 
 	"oakpick/internal/distribution"
 	"oakpick/internal/distribution/agent"
-	"oakpick/internal/distribution/chunkstore"
 )
 
 // endpoint is one end of links: what it sends and receives is shared out evenly.
@@ -149,19 +146,10 @@
 
 // write stores what has arrived, as the real agent does.
 func (a *Agent) write(fetch agent.GetChunk, arrived []byte, fault distribution.Fault) agent.ChunkResult {
-	r := agent.ChunkResult{ID: fetch.ID, Fault: fault}
+	r := agent.ChunkResult{ID: fetch.ID}
 	a.Received[fetch.Chunk.Digest] += int64(len(arrived))
-	var source io.Reader = bytes.NewReader(arrived)
 	var err error
-	r.Received, r.Partial, err = a.store.Write(fetch.Chunk, fetch.Offset, source)
-	var disk *chunkstore.DiskError
-	switch {
-	case errors.As(err, &disk):
-		r.Fault = distribution.FaultDisk
-	case errors.Is(err, chunkstore.ErrDamaged):
-		r.Fault = distribution.FaultDamaged
-	case err != nil && fault == "":
-		r.Fault = distribution.FaultUnreachable
-	}
+	r.Received, r.Partial, err = a.store.Write(fetch.Chunk, fetch.Offset, bytes.NewReader(arrived))
+	r.Fault = agent.WriteFault(err, r.Received, fault)
 	return r
 }
--- a/internal/distribution/simulation/world.go
+++ b/internal/distribution/simulation/world.go
@@ -146,10 +146,9 @@
 	if t == nil {
 		return
 	}
-	v := h.node.Coordination().Term()
 	var effects []tracker.Effect
 	step := func() {
-		effects = t.Step(h.node.Steady(), tracker.Term{Reign: v.Reign, Token: v.Token, Until: v.Until, Leader: v.Leader}, []tracker.Command{c})
+		effects = t.Step(h.node.Steady(), h.node.Coordination().Term(), []tracker.Command{c})
 	}
 	if h.w.Tracked != nil {
 		h.w.Tracked(step)
--- a/internal/distribution/tracker/messages.go
+++ b/internal/distribution/tracker/messages.go
@@ -8,17 +8,13 @@
 
 	"github.com/opencontainers/go-digest"
 
+	"oakpick/internal/coordination"
 	"oakpick/internal/distribution"
 	"oakpick/internal/storage"
 )
 
 // Term is what the tracker has to know of the controller's term.
-type Term struct {
-	Reign  int64         // names the time since this controller began to lead; 0: it doesn't lead
-	Token  int64         // version of the leader's key; it may rise during a reign
-	Until  time.Duration // until when the term is certain
-	Leader string        // who leads, as far as is known
-}
+type Term = coordination.TermView
 
 // Command is what goes into Step.
 type Command interface{ command() }
--- /dev/null
+++ b/internal/durable/durable.go
@@ -0,0 +1,43 @@
+// Package durable writes and renames files so that they outlive the end of the machine.
+package durable
+
+import (
+	"errors"
+	"io"
+	"path"
+
+	"github.com/spf13/afero"
+)
+
+// NewSuffix ends the names of files that are being written by Replace.
+const NewSuffix = ".new"
+
+// Write writes a file, and returns once that is durable.
+func Write(files afero.Fs, name string, content io.Reader) (size int64, err error) {
+	file, err := files.Create(name)
+	if err != nil {
+		return 0, err
+	}
+	size, err = io.Copy(file, content)
+	return size, errors.Join(err, file.Sync(), file.Close())
+}
+
+// Rename moves a file within a file system, and returns once that is durable.
+func Rename(files afero.Fs, from, to string) error {
+	if err := files.Rename(from, to); err != nil {
+		return err
+	}
+	dir, err := files.Open(path.Dir(to))
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
+
+// Replace writes a file in one step: whoever opens it finds the old content or the new.
+func Replace(files afero.Fs, name string, content io.Reader) error {
+	if _, err := Write(files, name+NewSuffix, content); err != nil {
+		return err
+	}
+	return Rename(files, name+NewSuffix, name)
+}
--- a/internal/scale/weights_parameters.go
+++ b/internal/scale/weights_parameters.go
@@ -3,11 +3,12 @@
 import (
 	"errors"
 	"fmt"
-	"reflect"
 	"slices"
 	"strconv"
 	"strings"
 
+	"oakpick/internal/config"
+
 	"github.com/go-playground/validator/v10"
 )
 
@@ -87,13 +88,11 @@
 
 // outOfRange names every field of parameters whose tag says that it is.
 func outOfRange(parameters any) (problems []error) {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string { return "--" + f.Tag.Get("name") })
 	var fields validator.ValidationErrors
-	if err := v.Struct(parameters); errors.As(err, &fields) {
+	if err := config.NewValidator("name").Struct(parameters); errors.As(err, &fields) {
 		for _, f := range fields {
 			_, name, _ := strings.Cut(f.Namespace(), ".")
-			problems = append(problems, fmt.Errorf("%s: out of range (%s %s)", name, f.Tag(), f.Param()))
+			problems = append(problems, fmt.Errorf("--%s: out of range (%s %s)", name, f.Tag(), f.Param()))
 		}
 	} else if err != nil {
 		problems = append(problems, err)
