Guests run on what others leave idle: bounded renting, no dear machine kept, writes last

Every machine that the cloud had was rented for them, GPU machines too at 15 times the price of a place elsewhere; gangs of guaranteed teams waited for guests to be stopped, and guests' writes went before users' answers once they were old.

Change: for a team without a guarantee, while others have one, machines are rented only where a place costs at most twice the cheapest; on dearer ones guests take only what unused accelerators don't need, beside others' tasks, and a machine that only they use is emptied. No warm room and no preemption for them, the short goes first, a job without any task takes any room after four leases. Their writes go last (OnCommitLast). Four stories, each fails without its guard.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -15,6 +15,7 @@
 // fleet is what is rented, and the dealings with the cloud.
 type fleet struct {
 	types    []protocol.MachineType
+	prices   int // counts the lists of types read, whose prices change
 	typesAt  time.Duration
 	rentals  []*rental
 	unplaced []wait
@@ -196,6 +197,7 @@
 	case CloudTypes:
 		if c.Outcome == OK && len(c.Types) > 0 {
 			f.types = c.Types
+			f.prices++
 			e.schedule = true
 		}
 	case CloudList:
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -1,9 +1,5 @@
 package coordination
 
-import (
-	"oakpick/internal/storage"
-)
-
 // placeGang starts a gang if every member has a place, or replaces members of
 // an attempt that has not begun to run.
 func (e *engine) placeGang(j *job) {
@@ -25,7 +21,9 @@
 	hosts := e.placesForGang(j, idle)
 	if hosts == nil {
 		e.fleet.unplaced = append(e.fleet.unplaced, wait{j, idle})
-		e.makeRoom(j, idle, j.zoneUse())
+		if !j.guest() {
+			e.makeRoom(j, idle, j.zoneUse())
+		}
 		return
 	}
 	e.startGang(j, hosts)
@@ -89,7 +87,7 @@
 		e.store.Touch(e.n.now.Mono, j.blocks[0], nil)
 	}
 	var placed []*task
-	w := storage.OnCommitStart(func() {
+	w := j.onCommitStart(func() {
 		for _, t := range placed {
 			e.started(t)
 		}
--- /dev/null
+++ b/internal/coordination/guests_test.go
@@ -0,0 +1,157 @@
+package coordination_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"oakpick/internal/config"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+)
+
+// guestWorld is a world with a team that has no guarantee.
+func guestWorld(t *testing.T) *fake.World {
+	t.Helper()
+	s := fake.Settings()
+	s.Teams = append(s.Teams, config.Team{Name: "guests"})
+	return worldOf(t, s)
+}
+
+func guestJob(id int, shape protocol.Shape, tasks int) protocol.Submission {
+	s := job(id, shape, tasks)
+	s.Team, s.Priority, s.Spot = "guests", protocol.Low, true
+	return s
+}
+
+// Guests bring far more work than the cheap machines hold, and leaders end in between.
+// No controller rents a machine for them where a place costs more than twice the cheapest;
+// the work is done all the same.
+func TestGuestsAreRentedOnlyWhatTheirWorkIsWorth(t *testing.T) {
+	w := guestWorld(t)
+	w.Cloud.MostOf = map[string]int{"small": 3}
+	dear := 0
+	w.Booted = func(m protocol.Machine) {
+		if !m.Spot { // ordinary ones are 2.5 times the price
+			dear++
+		}
+	}
+	w.Submit(guestJob(1, protocol.Array, 120), 4*time.Second)
+	w.Submit(guestJob(2, protocol.Array, 20), 4*time.Second)
+	for range 3 {
+		w.Run(15 * time.Second)
+		l := w.Leader()
+		l.Crash()
+		w.After(2*time.Second, l.Start)
+	}
+	pollFor(w, 120*time.Second)
+	check(t, w)
+	served(t, w)
+	if dear > 0 {
+		t.Errorf("%d machines that cost more were rented for guests", dear)
+	}
+}
+
+// All cheap machines are full of a guest's long work. Another guest's job finds room beside
+// a guaranteed team's, on a machine that is dear for it: it waits, but not for ever, also
+// if the leader changes meanwhile.
+func TestGuestTakesAnyRoomInTheEnd(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		w := guestWorld(t)
+		w.Cloud.MostOf = map[string]int{"small": 0}
+		paying := service(1, 1)
+		paying.CPUs, paying.GPUs, paying.MemoryGB = 2, 1, 4
+		w.Submit(paying, 0)
+		runs(t, w, paying.ID, 1)
+		s := guestJob(2, protocol.Array, 1)
+		s.CPUs, s.Spot = 3, false
+		w.Submit(s, 30*time.Second)
+		began := w.Now
+		w.Run(20 * time.Second)
+		if n := w.Running(s.ID); n != 0 {
+			t.Errorf("%d of the guest's tasks run on processors that unused GPUs need", n)
+		}
+		if ends {
+			l := w.Leader()
+			l.Crash()
+			w.After(2*time.Second, l.Start)
+		}
+		if !w.Until(90*time.Second, func() bool { return w.Running(s.ID) == 1 }) {
+			t.Errorf("the guest's job still waits after %v", w.Now-began)
+		}
+		pollFor(w, 20*time.Second)
+		check(t, w)
+	}
+}
+
+// A guest's tasks that save are left alone on a machine that is dear for them, once a
+// guaranteed team's have gone. They are stopped, save, and go on where it is cheap, and the
+// machine is given back, also by a successor.
+func TestMachineIsNotKeptForGuestsAlone(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		w := guestWorld(t)
+		w.Cloud.MostOf = map[string]int{"small": 0}
+		paying := service(1, 1)
+		paying.CPUs, paying.GPUs = 2, 2
+		w.Submit(paying, 0)
+		runs(t, w, paying.ID, 1)
+		host := w.On(paying.ID)[0]
+		s := guestJob(2, protocol.Array, 3)
+		s.CPUs, s.Estimate = 2, 400
+		j := w.Submit(s, 400*time.Second)
+		if !w.Until(60*time.Second, func() bool { return w.Running(s.ID) > 0 }) {
+			t.Fatal("the guest's tasks don't run")
+		}
+		w.CancelEverywhere(w.Jobs[paying.ID])
+		if ends {
+			w.Leader().Crash()
+		}
+		w.Cloud.MostOf["small"] = 4
+		if !w.Until(150*time.Second, func() bool { return !slices.Contains(w.Names(), host) }) {
+			t.Errorf("%s is kept for %v", host, w.On(s.ID))
+		}
+		if !w.Until(90*time.Second, func() bool { return w.Running(s.ID) == 3 }) {
+			t.Errorf("%d of 3 of the guest's tasks go on", w.Running(s.ID))
+		}
+		for _, h := range w.On(s.ID) {
+			if w.KindOf(h) != "small" {
+				t.Errorf("a guest's task is on a %s", w.KindOf(h))
+			}
+		}
+		w.CancelEverywhere(j)
+		pollFor(w, 10*time.Second)
+		check(t, w)
+	}
+}
+
+// An array of guests as large as the fleet keeps the write budget busy, and the leader ends
+// in the middle of it. What a guaranteed team submits is taken at once, by whoever leads.
+func TestGuestsWritesKeepNobodyWaiting(t *testing.T) {
+	s := fake.Settings()
+	s.Teams = append(s.Teams, config.Team{Name: "guests"})
+	s.State.WriteRPS = 3
+	w := worldOf(t, s)
+	w.Cloud.MostOf = map[string]int{"small": 16}
+	array := guestJob(1, protocol.Array, 2500)
+	array.CPUs, array.MemoryGB, array.Estimate = 0.05, 0.1, 3
+	w.Submit(array, 3*time.Second)
+	w.Run(20 * time.Second)
+	l := w.Leader()
+	l.Crash()
+	w.After(2*time.Second, l.Start)
+	w.Run(8 * time.Second)
+	worst := time.Duration(0)
+	for i := range 6 {
+		j := w.Submit(job(10+i, protocol.Array, 1), 2*time.Second)
+		began := w.Now
+		if !w.Until(30*time.Second, func() bool { return j.Accepted }) {
+			t.Fatalf("%s is not accepted", j.Sub.ID)
+		}
+		worst = max(worst, w.Now-began)
+		w.Run(time.Second)
+	}
+	if most := time.Second; worst > most {
+		t.Errorf("a submission took %v behind guests' writes, at most %v", worst, most)
+	}
+	check(t, w)
+}
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -27,11 +27,13 @@
 	answered       time.Duration // when a report was last answered with 200
 	wasAnswered    bool
 
-	tasks   []*task
-	used    need                  // what they take
-	leaving need                  // of that, what stopping ones are about to leave
-	others  []protocol.TaskReport // on the machine, but not in the records
-	forget  map[protocol.Attempt]forgetting
+	tasks []*task
+	// guaranteedTasks counts those of teams that aren't guests.
+	guaranteedTasks int
+	used            need                  // what they take
+	leaving         need                  // of that, what stopping ones are about to leave
+	others          []protocol.TaskReport // on the machine, but not in the records
+	forget          map[protocol.Attempt]forgetting
 
 	call        uint64 // the direct command under way
 	callAt      time.Duration
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -12,6 +12,7 @@
 	storage.JobRecord
 	e      *engine
 	team   *team
+	worth  worth // see guests.go
 	need   need
 	kinds  string // the types that it allows, in one word
 	full   storage.Bits
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -60,6 +60,7 @@
 	for _, t := range s.Teams {
 		e.teams[t.Name] = &team{Team: t}
 	}
+	e.markGuests(s.Teams)
 	// What is written has to fit the limits to come as well: when they come isn't said.
 	e.archive = newArchive(e)
 	limits := s.State.Smallest()
@@ -253,6 +254,7 @@
 			j.unfinished++
 		}
 		h.tasks = append(h.tasks, t)
+		h.countTask(j, 1)
 		h.used = h.used.plus(j.need)
 		h.session = max(h.session, s.Session)
 		j.team.used = j.team.used.plus(j.need)
--- a/internal/coordination/packing.go
+++ b/internal/coordination/packing.go
@@ -78,7 +78,7 @@
 		// The bin that was best for one task is so for the next, until it is full.
 		count := 1
 		if !j.Spread {
-			count = j.need.count(b.room, tasks)
+			count = j.need.count(c.room(b), tasks)
 		}
 		b.room = b.room.minus(j.need.times(float64(count)))
 		b.used = true
@@ -128,7 +128,18 @@
 
 // takes tells whether a bin has room for a task of the job, which may go there.
 func (c *candidates) takes(b *bin) bool {
-	return c.j.need.fits(b.room) && (b.offer.spot || !c.spotOnly) && c.j.allowed(b.offer.kind, b.offer.zone, b.offer.spot)
+	return c.j.need.fits(c.room(b)) && (b.offer.spot || !c.spotOnly) && c.j.allowed(b.offer.kind, b.offer.zone, b.offer.spot)
+}
+
+// room is what of a bin's room the job's tasks may take.
+func (c *candidates) room(b *bin) need {
+	switch {
+	case b.h != nil && b.h.up:
+		return c.p.e.roomFor(c.j, b.h, b.room)
+	case c.p.e.worthRenting(c.j, b.offer):
+		return b.room
+	}
+	return need{}
 }
 
 func (c *candidates) key(b *bin) float64 {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -103,7 +103,7 @@
 		if left+later > 0 {
 			e.fleet.unplaced = append(e.fleet.unplaced, wait{j, e.withinLimit(j, idle+later)})
 		}
-		if left > 0 {
+		if left > 0 && !j.guest() { // guests get what is idle
 			e.makeRoom(j, left, use)
 		}
 		if left < idle {
@@ -138,6 +138,7 @@
 	need        need
 	kinds, zone string
 	spot        bool
+	anyRoom     bool // also what guests leave to others, see takesAnyRoom
 }
 
 // claim is what tells apart jobs that may have other tasks stopped.
@@ -148,7 +149,9 @@
 	team   *team
 }
 
-func (j *job) shape() shape { return shape{j.need, j.kinds, j.Zone, j.Spot} }
+func (j *job) shape() shape {
+	return shape{j.need, j.kinds, j.Zone, j.Spot, j.guest() && j.e.takesAnyRoom(j)}
+}
 
 func (e *engine) beginPass() {
 	p := &e.pass
@@ -175,7 +178,7 @@
 	if !ok {
 		for _, h := range e.byName {
 			e.n.Stats.HostsSeen++
-			if j.need.fits(h.virtual) && e.alive(h) && j.allowed(h.kind, h.zone, h.spot) {
+			if e.alive(h) && j.allowed(h.kind, h.zone, h.spot) && j.need.fits(e.roomFor(j, h, h.virtual)) {
 				list = append(list, h)
 			}
 		}
@@ -210,7 +213,7 @@
 		e.n.Stats.HostsSeen++
 		r := i + e.n.rng.IntN(len(list)-i)
 		h := list[r]
-		if !j.need.fits(h.virtual) { // filled up in this pass
+		if !j.need.fits(e.roomFor(j, h, h.virtual)) { // filled up in this pass
 			list[r] = list[len(list)-1]
 			list = list[:len(list)-1]
 			e.pass.room[j.shape()] = list
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -23,7 +23,7 @@
 	}
 	p.warm = true
 	for _, name := range e.classNames() {
-		if c := e.classes[name]; c.sample != nil {
+		if c := e.classes[name]; c.sample != nil && !c.sample.guest() {
 			// Room for what may use spot machines is kept on those only: it isn't
 			// worth an ordinary machine.
 			p.add(c.sample, e.warmTasks(c), map[string]int{}, c.sample.Spot)
@@ -32,6 +32,13 @@
 	if !e.rentAll(p.bins[p.existing:]) {
 		e.consolidate(p.bins)
 	}
+	needed := p.needed()
+	e.releaseFromGuests(needed)
+	return needed
+}
+
+// needed are the machines that something in the plan has its place on.
+func (p *packing) needed() map[*host]bool {
 	needed := map[*host]bool{}
 	for _, b := range p.bins[:p.existing] {
 		if b.h != nil && b.used {
@@ -158,7 +165,7 @@
 		for _, z := range mt.Zones {
 			for _, spot := range []bool{true, false} {
 				o := offer{mt.Name, z, spot}
-				if spotOnly && !spot || !j.allowed(mt.Name, z, spot) || !j.zoneOK(z, use) || now < f.refused[o] {
+				if spotOnly && !spot || !j.allowed(mt.Name, z, spot) || !j.zoneOK(z, use) || now < f.refused[o] || !e.worthRenting(j, o) {
 					continue
 				}
 				c := f.price(o) / float64(slots) * (1 + 0.01*float64(use[z]))
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -53,6 +53,11 @@
 	if j.dependency != nil {
 		return min(j.readyMs, j.dependency.latestStartMs())
 	}
+	if j.guest() {
+		// Guests have only what is left: of their work the short goes first, so that a
+		// few long arrays don't keep many small jobs waiting.
+		return j.readyMs + int64(j.expectedRun()*lengthWeight*1000)
+	}
 	if j.Deadline == 0 {
 		return j.readyMs
 	}
@@ -71,10 +76,18 @@
 // second that it would take with its team's limit to itself.
 const lengthWeight = 30
 
+// order is a job's standing: its priority, and among equals whether its team's guarantee
+// covers it, then whether its team has one.
 func order(j *job) int {
-	n := 2 * int(j.priority())
-	if j.within {
-		n++
+	n := standings * int(j.priority())
+	switch {
+	case j.within:
+		return n + 2
+	case !j.guest():
+		return n + 1
 	}
 	return n
 }
+
+// standings is how many jobs of the same priority can have.
+const standings = 3
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -9,29 +9,30 @@
 
 // Rules are the node's own times, each a ratio to a figure of the settings.
 type Rules struct {
-	ttl          time.Duration // of the term's lease
-	renew        time.Duration // between renewals
-	poll         time.Duration // between a follower's looks at the term's key
-	hold         time.Duration // how long a leader in doubt goes on answering workers
-	lease        time.Duration // after which a worker's lease has certainly lapsed
-	report       time.Duration
-	answer       time.Duration // how long a direct command may take
-	retry        time.Duration // before a refused or lost write is sent again
-	raise        time.Duration // least time between two raises of the token
-	healthFor    time.Duration
-	probe        time.Duration // between a follower's greetings to the leader
-	probeTimeout time.Duration // after which a leader that doesn't answer them counts as out of reach
-	cancelWithin time.Duration // within which the tasks of a cancelled job have to be gone, from when its user is told
-	cancel       time.Duration // after which a machine that may not obey isn't answered
-	silent       time.Duration // a machine that has been silent for so long should have reported
-	backOff      time.Duration // how long a node that gave up the term leaves it to others
-	sweep        time.Duration // between looks at all machines
-	passBackOff  time.Duration // for each job that waits in vain, between placement passes
-	lookBackOff  time.Duration // for each look at a machine in the last one, the same
-	looksMost    time.Duration // for all of these, at most
-	blockTasks   int           // how many tasks a block of a new job has
-	endedKept    int           // ended jobs that a leader keeps in memory, before they are moved to the archive
-	archivePages int           // pages of the archive that a leader keeps in memory
+	ttl           time.Duration // of the term's lease
+	renew         time.Duration // between renewals
+	poll          time.Duration // between a follower's looks at the term's key
+	hold          time.Duration // how long a leader in doubt goes on answering workers
+	lease         time.Duration // after which a worker's lease has certainly lapsed
+	report        time.Duration
+	answer        time.Duration // how long a direct command may take
+	retry         time.Duration // before a refused or lost write is sent again
+	raise         time.Duration // least time between two raises of the token
+	healthFor     time.Duration
+	probe         time.Duration // between a follower's greetings to the leader
+	probeTimeout  time.Duration // after which a leader that doesn't answer them counts as out of reach
+	cancelWithin  time.Duration // within which the tasks of a cancelled job have to be gone, from when its user is told
+	cancel        time.Duration // after which a machine that may not obey isn't answered
+	silent        time.Duration // a machine that has been silent for so long should have reported
+	guestPatience time.Duration // how long a guest's job without any task waits for room that is cheap
+	backOff       time.Duration // how long a node that gave up the term leaves it to others
+	sweep         time.Duration // between looks at all machines
+	passBackOff   time.Duration // for each job that waits in vain, between placement passes
+	lookBackOff   time.Duration // for each look at a machine in the last one, the same
+	looksMost     time.Duration // for all of these, at most
+	blockTasks    int           // how many tasks a block of a new job has
+	endedKept     int           // ended jobs that a leader keeps in memory, before they are moved to the archive
+	archivePages  int           // pages of the archive that a leader keeps in memory
 }
 
 // drift is more than twice what the steady clocks of two machines may differ by.
@@ -83,6 +84,7 @@
 	r.endedKept = int(memory / endedShare / endedBytes)
 	r.archivePages = max(archivePagesLeast, int(memory/archiveCacheShare/(cfg.Settings.State.ValueKB*1024)))
 	r.backOff = r.ttl * 2
+	r.guestPatience = r.lease * 4
 	r.passBackOff = r.sweep / 1000
 	// A look takes a fraction of a microsecond of a core. With this, passes leave most of the
 	// process's share of one to the rest.
--- a/internal/coordination/task.go
+++ b/internal/coordination/task.go
@@ -67,12 +67,13 @@
 	j.tasks[index] = t
 	j.unfinished++
 	h.tasks = append(h.tasks, t)
+	h.countTask(j, 1)
 	h.used = h.used.plus(j.need)
 	h.emptySince = 0
 	j.team.used = j.team.used.plus(j.need)
 	h.fetch(e, j)
 	if w == nil {
-		w = storage.OnCommitStart(func() { e.started(t) })
+		w = j.onCommitStart(func() { e.started(t) })
 	}
 	e.store.Touch(e.n.now.Mono, b, w)
 	return t
@@ -101,6 +102,7 @@
 	delete(j.tasks, t.index)
 	t.block.starts = slices.DeleteFunc(t.block.starts, func(x *task) bool { return x == t })
 	t.host.tasks = slices.DeleteFunc(t.host.tasks, func(x *task) bool { return x == t })
+	t.host.countTask(j, -1)
 	t.host.used = t.host.used.minus(j.need)
 	if t.stopping {
 		j.stopping--
@@ -118,7 +120,7 @@
 		t.host.used, t.host.leaving = need{}, need{} // no rounding is carried on
 	}
 	e.schedule = true
-	e.store.Touch(e.n.now.Mono, t.block, nil)
+	e.touchLater(t.block)
 	if j.Shape == protocol.Gang {
 		e.gangLost(j)
 	}
@@ -152,7 +154,7 @@
 func (e *engine) exited(t *task, r protocol.TaskReport) {
 	j, h, a := t.job, t.host, r.Attempt
 	h.forget[a] = forgetting{token: max(t.sentToken, e.firstT-1), since: e.n.now.Mono}
-	w := storage.OnCommitLater(func() { e.forgettable(h, a) })
+	w := j.onCommitLater(func() { e.forgettable(h, a) })
 	now := e.n.now.Mono
 	switch r.Cause {
 	case protocol.Done:
@@ -204,7 +206,7 @@
 		j.unfinished--
 	}
 	now := e.n.now.Mono
-	e.store.Touch(now, b, nil)
+	e.touchLater(b)
 	for i := range j.blockLen(bn) {
 		if !b.done.Has(i) {
 			return
@@ -213,10 +215,10 @@
 	// The whole block is done: the first block says so, and only when that is
 	// durable does the block itself go.
 	j.full.Set(bn)
-	e.store.Touch(now, j.blocks[0], storage.OnCommitLater(func() {
+	e.store.Touch(now, j.blocks[0], j.onCommitLater(func() {
 		if bn != 0 && j.blocks[bn] == b && len(b.starts) == 0 {
 			delete(j.blocks, bn)
-			e.store.Remove(e.n.now.Mono, b, nil)
+			e.store.Remove(e.n.now.Mono, b, j.onCommitLater(func() {}))
 		}
 	}))
 }
@@ -269,7 +271,7 @@
 		rest = append(rest, p)
 	}
 	f.rest = len(rest) > 0
-	wait := storage.OnCommitLater(func() { f.rest = false })
+	wait := j.onCommitLater(func() { f.rest = false })
 	for _, item := range rest {
 		e.store.Remove(e.n.now.Mono, item, wait)
 	}
--- a/internal/coordination/team.go
+++ b/internal/coordination/team.go
@@ -5,6 +5,7 @@
 // team is a team's use and limits.
 type team struct {
 	config.Team
+	guest   bool // has no guarantee while others do, see guests.go
 	used    need
 	leaving need // of that, what stopping tasks are about to leave
 	owed    need // of that, what the present pass has promised to jobs that wait for it
--- a/internal/storage/page.go
+++ b/internal/storage/page.go
@@ -37,6 +37,7 @@
 	startRetries      = 5
 	soonRetries       = 10
 	backgroundRetries = 100
+	lastRetries       = 100_000
 )
 
 // OnCommit makes a wait; it is handed to Touch for every page that it waits for. A
@@ -60,6 +61,12 @@
 	return &CommitWait{then: then, patience: backgroundRetries}
 }
 
+// OnCommitLast makes a wait for what is written only when nothing else is to be, the
+// oldest first.
+func OnCommitLast(then func()) *CommitWait {
+	return &CommitWait{then: then, patience: lastRetries}
+}
+
 // page is one key of the state service and what belongs on it.
 type page struct {
 	number   int
