A successor drops starts of every session that is over, not only of the last

Cause: a leader that heard of a worker's new session started its tasks there again and ended when only some of the writes were durable. Its successor found starts of both sessions on the machine, took the newer one for the machine's session, and waited for good for proof that the older ones were gone: such replicas never ran again. Found when other timings let TestLimitsDropAfterARoll meet the ordering.

Change: a machine's first report in a term loses the tasks of all sessions before its own, as a newer session does. TestStartsOfTwoSessionsOnOneMachine names the ordering and fails without.

--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -157,14 +157,13 @@
 	}
 	if r.Session > h.session {
 		h.sessionAt = now
-		// The earlier session is over, and everything of it is gone.
-		for _, t := range slices.Clone(h.tasks) {
-			if t.session < r.Session {
-				e.lost(t, "newer session")
-			}
-		}
 		h.doubtTok, h.forget, h.images = 0, map[protocol.Attempt]forgetting{}, nil
 	}
+	if r.Session > h.session || !h.up {
+		// Earlier sessions are over, and everything of them is gone. The records may hold
+		// starts of several: a leader that ended had recorded only some of them anew.
+		e.loseEarlier(h, r.Session)
+	}
 	h.addr, h.kind, h.zone, h.spot = r.Addr, r.Type, r.Zone, r.Spot
 	if !h.up {
 		e.booted(h)
@@ -180,6 +179,15 @@
 	e.tasksOf(h, r)
 }
 
+// loseEarlier takes the tasks of sessions before this one off a machine.
+func (e *engine) loseEarlier(h *host, session int64) {
+	for _, t := range slices.Clone(h.tasks) {
+		if t.session < session {
+			e.lost(t, "newer session")
+		}
+	}
+}
+
 // tasksOf compares a report with the records.
 func (e *engine) tasksOf(h *host, r *protocol.Report) {
 	now := e.n.now.Mono
--- a/internal/coordination/takeover_test.go
+++ b/internal/coordination/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -118,3 +119,55 @@
 		})
 	}
 }
+
+// A machine is cut off until its worker's lease has ended, and the leader ends meanwhile. The
+// next one hears of the new session and starts the machine's tasks there again; it ends when
+// only some of these starts are durable. Its successor finds starts of both sessions on the
+// machine, and hears of the newer one only: the older ones are gone.
+func TestStartsOfTwoSessionsOnOneMachine(t *testing.T) {
+	for durable := range 5 {
+		w := world(t)
+		w.Cloud.MostOf = map[string]int{"small": 1, "large": 0}
+		for i := range 80 { // on more pages than a transaction takes
+			s := service(i+1, 1)
+			s.CPUs, s.MemoryGB, s.Zone = 0.05, 0.1, "a" // there is one machine that they may have
+			w.Submit(s, 0)
+		}
+		if !w.Until(60*time.Second, func() bool { return len(w.Names()) > 0 && w.Running("wk-000080") == 1 }) {
+			t.Fatal("the replicas don't run")
+		}
+		w.Run(5 * time.Second)
+		host := w.On("wk-000001")[0]
+		session := w.Session(host)
+		w.HoldsWrites = true
+		placed := func() int { return strings.Count(strings.Join(w.Log, "\n"), "task placed [job wk-000001 ") }
+		left := durable
+		w.Network = func(kind, from, to string) fake.Fate {
+			f := fake.Well()
+			f.LoseRequest = w.Session(host) == session && (from == host || to == host)
+			if kind == "write" && placed() > 1 {
+				left--
+				f.LoseRequest = left < 0
+			}
+			return f
+		}
+		w.Run(3 * time.Second)
+		endLeader(w)
+		if !w.Until(30*time.Second, func() bool { return placed() > 1 }) {
+			t.Fatal("the replicas aren't started again")
+		}
+		w.Run(400 * time.Millisecond)
+		endLeader(w)
+		w.Network = nil
+		pollFor(w, 60*time.Second)
+		check(t, w)
+		served(t, w)
+	}
+}
+
+// endLeader ends the leader's process, which is back after three seconds.
+func endLeader(w *fake.World) {
+	l := w.Leader()
+	l.Crash()
+	w.After(3*time.Second, l.Start)
+}
