Pauses: nothing is concluded from one, nothing late is sent after one, requests outlive one

Need: controllers stand still for seconds to minutes while their clocks run on.

Change: internal/pause finds a pause from the owner's steps (longer than half a report); it is logged once with its length, role and calls in flight, and counted. Silence of machines and of the leader counts from its end, the fleet is left as it is until machines have had the time to report, and a node that has stood still leaves a free term to others for two polls. Rentals, returns and starts carry the time until which they may be sent, so that a leader that goes on doesn't return a machine that its successor has filled. Users' requests that are with a leader that stands still go to the next one as soon as it is known; requests to change something wait for up to the term's lease while nobody leads, and submissions until machine types are known.

Each guard has a story that fails without it (pauses_test.go). One check of an older story was wrong and is replaced by a stricter one: TestWritesWithoutAnswer summed rentals over leaders, which counts one twice that is asked for again under its own name; now the leader's own list of machines is compared with the cloud's.

--- /dev/null
+++ b/internal/coordination/deferred.go
@@ -0,0 +1,51 @@
+package coordination
+
+import "time"
+
+// deferred is a request to change something that came while nobody was known to lead, or a
+// submission that met a leader so new that it knew no machine types yet. Most changes of
+// leader are over within the term's lease, and to be told to come back takes longer than that.
+type deferred struct {
+	call  UserCall
+	until time.Duration
+}
+
+// mayDefer tells whether a request is worth keeping until there is a leader. Questions
+// aren't: their users ask again anyway, and there may be very many of them.
+func (n *Node) mayDefer(c UserCall) bool {
+	return c.Kind != Poll && len(n.deferred) < n.rules.deferMost
+}
+
+// deferCall keeps a request.
+func (n *Node) deferCall(c UserCall) {
+	n.Stats.Deferred++
+	n.deferred = append(n.deferred, deferred{c, n.now.Mono + n.rules.deferFor})
+}
+
+// resumeDeferred hands the requests on once there is a leader, and refuses those that have
+// waited for too long.
+func (n *Node) resumeDeferred() {
+	if len(n.deferred) == 0 {
+		return
+	}
+	waiting := n.deferred
+	n.deferred = nil
+	for _, d := range waiting {
+		switch {
+		case n.canDecide(d.call):
+			n.user(d.call)
+		case n.now.Mono < d.until:
+			n.deferred = append(n.deferred, d)
+		default:
+			n.refuse(d.call.ID, "no leader")
+		}
+	}
+}
+
+// canDecide tells whether a request can be decided here or handed on.
+func (n *Node) canDecide(c UserCall) bool {
+	if n.engine != nil {
+		return n.certain() && (c.Kind != Submit || len(n.engine.fleet.types) > 0)
+	}
+	return n.term.leader != "" && n.term.leader != n.cfg.Node
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -75,6 +75,11 @@
 		return false
 	}
 	c.ID = e.n.id()
+	if c.Op == CloudRent || c.Op == CloudReturn {
+		// The process may stand still between here and the sending. A machine that looks
+		// idle now may have another leader's tasks by then.
+		c.Until = e.n.term.until
+	}
 	f.calls[c.ID] = cc
 	e.n.emit(c)
 	return true
@@ -117,6 +122,9 @@
 	if !f.open && now < e.ledAt+config.Seconds(e.opt.TakeoverS) && len(e.hosts) > 0 {
 		return
 	}
+	if e.catchingUp() {
+		return // the machines have had no time to report since the pause
+	}
 	f.open = true
 	if now >= f.sayAt {
 		f.sayAt = now + 5*e.rules.lease
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -287,5 +287,5 @@
 func (e *engine) alive(h *host) bool {
 	now := e.n.now.Mono
 	return h.up && !h.returning && !h.draining && !h.cordoned && !h.failedMachine && h.noticeAt == 0 && h.session > h.dead && now >= h.pauseUntil &&
-		now-h.heard < e.rules.report*5/2 && (h.doubtTok < e.token)
+		e.silentFor(h) < e.rules.report*5/2 && (h.doubtTok < e.token)
 }
--- a/internal/coordination/lapse.go
+++ b/internal/coordination/lapse.go
@@ -20,7 +20,7 @@
 		n.Stats.HostsSeen++
 		if h.up && h.session > h.dead && now-h.heard < e.rules.lease {
 			live++
-			if now-h.heard > e.rules.silent {
+			if e.silentFor(h) > e.rules.silent {
 				silent++
 			}
 		}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -148,6 +148,9 @@
 		After  string
 		Rental protocol.Rental
 		Hosts  []string
+		// Until is until when it may be sent, by the steady clock: after that another
+		// controller may lead. 0: at any time.
+		Until time.Duration
 	}
 	// OrdersCall sends commands straight to a worker.
 	OrdersCall struct {
@@ -155,6 +158,8 @@
 		Host, Addr     string
 		Token, Session int64
 		Commands       []protocol.Command
+		// Until is until when it may be sent, as with CloudCall.
+		Until time.Duration
 	}
 	// PeerCall asks a peer to let go of terms below Term.
 	PeerCall struct {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oakpick/internal/config"
+	"oakpick/internal/pause"
 	"oakpick/internal/protocol"
 )
 
@@ -22,8 +23,10 @@
 	rng    *rand.Rand
 	boot   string // tells this process from earlier ones of the same node
 
-	term   term
-	engine *engine // nil while not leading
+	term     term
+	engine   *engine // nil while not leading
+	pauses   pause.Detector
+	deferred []deferred // requests that wait for a leader
 	// The state service has refused a value for its size: the limits to come are in force.
 	limitsLowered bool
 	Stats         Stats
@@ -50,17 +53,25 @@
 	Retries      int64 `json:"writes_retried"`
 	HostsSeen    int64 `json:"machines_looked_at"`
 	JobsSeen     int64 `json:"jobs_looked_at"`
+	// Pauses are the times that the process stood still, see pauses.go.
+	Pauses         int64 `json:"pauses"`
+	PausedMs       int64 `json:"paused_ms"`
+	LongestPauseMs int64 `json:"longest_pause_ms"`
+	// Deferred are requests that waited for a leader to be known.
+	Deferred int64 `json:"requests_deferred"`
 }
 
 // New makes a node. The seed and the boot name must differ between processes.
 func New(cfg *config.Config, boot string, seed uint64) *Node {
 	n := &Node{cfg: cfg, boot: boot, rng: rand.New(rand.NewPCG(seed, 0x6f616b)), rules: NewRules(cfg)}
+	n.pauses.Threshold = n.rules.pause
 	return n
 }
 
 // Step takes a batch of commands and gives what is to be done about them.
 func (n *Node) Step(now Now, commands []Command) []Effect {
 	n.now, n.out = now, nil
+	n.notePause()
 	if n.engine != nil && n.holdOver() {
 		// The process stood still. What has come meanwhile must not be answered as
 		// if no time had passed: a successor may have declared sessions lapsed.
@@ -70,6 +81,7 @@
 		n.handle(c)
 	}
 	n.termTick()
+	n.resumeDeferred()
 	if n.engine != nil {
 		n.engine.afterBatch()
 	}
@@ -120,6 +132,8 @@
 		n.engine.user(c)
 	case n.engine == nil && n.term.leader != "" && n.term.leader != n.cfg.Node:
 		n.emit(Forward{ID: c.ID, Peer: n.term.leader})
+	case n.engine == nil && n.mayDefer(c):
+		n.deferCall(c)
 	default:
 		n.refuse(c.ID, "no leader")
 	}
@@ -145,7 +159,7 @@
 		return true
 	}
 	if n.term.leader != "" {
-		return n.now.Mono-n.term.reached <= n.rules.probeTimeout
+		return n.now.Mono-n.pauses.Since(n.term.reached) <= n.rules.probeTimeout
 	}
 	return n.now.Mono-n.term.heard < n.rules.healthFor || n.now.Mono < n.rules.healthFor
 }
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -94,7 +94,11 @@
 			continue
 		}
 		h.call, h.callAt, h.starts = n.id(), now, starts
-		n.emit(OrdersCall{ID: h.call, Host: h.name, Addr: h.addr, Token: e.token, Session: h.session, Commands: cmds})
+		call := OrdersCall{ID: h.call, Host: h.name, Addr: h.addr, Token: e.token, Session: h.session, Commands: cmds}
+		if len(starts) > 0 {
+			call.Until = n.term.until // nothing starts in doubt
+		}
+		n.emit(call)
 	}
 }
 
@@ -134,7 +138,7 @@
 	if h.fails > 0 {
 		e.queueCommands(h)
 		h.next = now + min(e.rules.report/6<<min(h.fails, 5), e.rules.lease/2)
-		if now-h.heard > e.rules.silent {
+		if e.silentFor(h) > e.rules.silent {
 			// It is silent itself. Hundreds may be, and each try takes a connection
 			// for a while: they are left alone until they report.
 			h.next = now + e.rules.lease/2
--- /dev/null
+++ b/internal/coordination/pauses_test.go
@@ -0,0 +1,365 @@
+package coordination_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"oakpick/internal/coordination"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+	"oakpick/internal/storage"
+)
+
+// logged tells whether any controller has logged such a line.
+func logged(w *fake.World, line string) bool {
+	return strings.Contains(strings.Join(w.Log, "\n"), line)
+}
+
+// The leader gives an idle machine back, and stands still between the decision and the call
+// to the cloud. Another leads and starts a task there. When the first goes on, it must not
+// return the machine.
+func TestLeaderStandsStillBeforeItReturnsAMachine(t *testing.T) {
+	for _, stall := range []time.Duration{3 * time.Second, 16 * time.Second, 40 * time.Second} {
+		w := world(t)
+		spare(t, w)
+		idle := len(w.Names())
+		w.Cloud.MostOf = map[string]int{"small": 1, "large": 0} // nothing else can be had
+		l := w.Leader()
+		var stalled []string
+		l.Stall = func(effect coordination.Effect) time.Duration {
+			c, ok := effect.(coordination.CloudCall)
+			if !ok || c.Op != coordination.CloudReturn || stalled != nil {
+				return 0
+			}
+			stalled = c.Hosts
+			return stall
+		}
+		if !w.Until(60*time.Second, func() bool { return stalled != nil }) {
+			t.Fatal("no machine is given back")
+		}
+		s := service(1, idle)
+		s.CPUs = 4 // a machine each
+		w.Submit(s, 0)
+		if !w.Until(stall-time.Second, func() bool { return w.Running(s.ID) == idle }) && stall > 5*time.Second {
+			t.Errorf("%v: %d of %d replicas run", stall, w.Running(s.ID), idle)
+		}
+		w.Run(45 * time.Second)
+		if n := w.TasksDied; n > 0 {
+			t.Errorf("%v: %d tasks were on a machine that the former leader returned", stall, n)
+		}
+		check(t, w)
+	}
+}
+
+// The leader stands still with a start to be sent. Its lease ends meanwhile, and the state
+// service goes out before it goes on: in doubt, nothing may start.
+func TestLeaderInDoubtSendsNoStartThatIsLate(t *testing.T) {
+	w := world(t)
+	spare(t, w)
+	l, stood := w.Leader(), false
+	l.Stall = func(effect coordination.Effect) time.Duration {
+		if c, ok := effect.(coordination.OrdersCall); !ok || stood || !starts(c) {
+			return 0
+		}
+		stood = true
+		w.State.Outage(true)
+		return 3 * time.Second
+	}
+	s := service(1, 1)
+	w.Submit(s, 0)
+	if !w.Until(20*time.Second, func() bool { return stood }) {
+		t.Fatal("nothing is started")
+	}
+	w.Run(6 * time.Second)
+	if n := len(w.On(s.ID)); n > 0 {
+		t.Error("a leader in doubt has started a task")
+	}
+	w.State.Outage(false)
+	runs(t, w, s.ID, 1)
+	check(t, w)
+}
+
+func starts(c coordination.OrdersCall) bool {
+	return slices.ContainsFunc(c.Commands, func(c protocol.Command) bool { return c.Verb == protocol.Start })
+}
+
+// The leader stands still before it carries out an effect: an answer to a user, a command to
+// a worker, a call to the cloud, a renewal or a write. It goes on within its lease, within its hold, or after
+// another has led for long. Jobs come, end and are called
+// off all the while.
+func TestLeaderStandsStillBeforeAnEffect(t *testing.T) {
+	kinds := map[string]func(coordination.Effect) bool{
+		"answer": func(e coordination.Effect) bool { _, ok := e.(coordination.Reply); return ok },
+		"orders": func(e coordination.Effect) bool { _, ok := e.(coordination.OrdersCall); return ok },
+		"cloud":  func(e coordination.Effect) bool { _, ok := e.(coordination.CloudCall); return ok },
+		"state":  func(e coordination.Effect) bool { _, ok := e.(coordination.StateCall); return ok },
+	}
+	for name, is := range kinds {
+		for _, stall := range []time.Duration{600 * time.Millisecond, 2 * time.Second, 9 * time.Second, 32 * time.Second} {
+			for _, skip := range []int{0, 1, 3} {
+				t.Run(fmt.Sprintf("%s after %d for %v", name, skip, stall), func(t *testing.T) {
+					t.Parallel()
+					playStall(t, is, skip, stall)
+				})
+			}
+		}
+	}
+}
+
+func playStall(t *testing.T, is func(coordination.Effect) bool, skip int, stall time.Duration) {
+	w := world(t)
+	w.Submit(service(1, 3), 0)
+	called := w.Submit(service(2, 2), 0)
+	w.Submit(job(3, protocol.Array, 6), 8*time.Second)
+	w.Run(12 * time.Second)
+	l, left, stood := w.Leader(), skip, false
+	l.Stall = func(effect coordination.Effect) time.Duration {
+		if stood || !is(effect) {
+			return 0
+		}
+		if left--; left >= 0 {
+			return 0
+		}
+		stood = true
+		return stall
+	}
+	w.Submit(job(4, protocol.Gang, 2), 3*time.Second)
+	w.CancelEverywhere(called)
+	w.After(stall/2, func() { w.CancelEverywhere(called) })
+	w.Submit(job(5, protocol.Array, 2), 2*time.Second)
+	pollFor(w, stall+60*time.Second)
+	check(t, w)
+	served(t, w)
+	if !stood {
+		t.Error("the leader never stood still")
+	}
+	if called.Told != protocol.StatusCancelled {
+		t.Errorf("the cancelled job is called %q", called.Told)
+	}
+}
+
+// The leader ends, and its successor stands still before one of the first effects after it has
+// asked for the term: while it takes it, reads the records or begins to lead. A third takes
+// over, or it goes on itself.
+func TestSuccessorStandsStillWhileItTakesOver(t *testing.T) {
+	for _, stall := range []time.Duration{2 * time.Second, 9 * time.Second, 32 * time.Second} {
+		for skip := range 8 {
+			t.Run(fmt.Sprintf("after %d for %v", skip, stall), func(t *testing.T) {
+				t.Parallel()
+				w := world(t)
+				w.Submit(service(1, 3), 0)
+				called := w.Submit(service(2, 2), 0)
+				w.Submit(job(3, protocol.Array, 6), 8*time.Second)
+				w.Run(12 * time.Second)
+				w.Leader().Crash()
+				left, stood := skip, false
+				for _, n := range w.Nodes[1:] {
+					n.Stall = func(effect coordination.Effect) time.Duration {
+						if c, ok := effect.(coordination.StateCall); stood || ok && c.Op == storage.StateGet {
+							return 0 // a look at who leads
+						}
+						if left--; left >= 0 {
+							return 0
+						}
+						stood = true
+						return stall
+					}
+				}
+				w.CancelEverywhere(called)
+				pollFor(w, stall+70*time.Second)
+				check(t, w)
+				served(t, w)
+				if called.Told != protocol.StatusCancelled {
+					t.Errorf("the cancelled job is called %q", called.Told)
+				}
+			})
+		}
+	}
+}
+
+// The leader stands still while the state service is out, so that nobody can take its term,
+// and both end together. What it has not heard says nothing of the machines: it keeps the
+// term, and rents, returns, moves and loses nothing.
+func TestNothingIsConcludedFromAnOwnPause(t *testing.T) {
+	w := world(t)
+	for i := range 3 {
+		s := service(i+1, 2)
+		s.CPUs = 2
+		w.Submit(s, 0)
+	}
+	l := w.Leader()
+	for returned := int64(-1); returned != l.Stats().Returned; w.Run(40 * time.Second) {
+		returned = l.Stats().Returned
+	}
+	before, machines := l.Stats(), len(w.Names())
+	if machines < 3 {
+		t.Fatalf("only %d machines", machines)
+	}
+	mark := len(w.Log)
+	w.State.Outage(true)
+	w.Run(time.Second)
+	// The workers wait in vain, and are on their way from node to node when it goes on.
+	goesOn := w.Now + 5*time.Second
+	w.Network = func(kind, _, to string) fake.Fate {
+		f := fake.Well()
+		f.LoseRequest = kind == "report" && to == l.Name && w.Now < goesOn
+		return f
+	}
+	l.PausedUntil = w.Now + 5*time.Second // longer than a machine may be silent, less than a lease
+	w.Run(5 * time.Second)
+	w.State.Outage(false)
+	w.Run(20 * time.Second)
+	after := l.Stats()
+	if !l.Leads() || after.Terms != before.Terms {
+		t.Errorf("the term is lost: %s", strings.Join(w.Log[mark:], "\n"))
+	}
+	if after.Pauses != 1 || after.LongestPauseMs < 5000 || !logged(w, "process stood still [for 5") {
+		t.Errorf("%d pauses, the longest %d ms", after.Pauses, after.LongestPauseMs)
+	}
+	if after.Rented != before.Rented || after.Returned != before.Returned || after.Moved != before.Moved || after.Lost != before.Lost {
+		t.Errorf("%+v before, %+v after", before, after)
+	}
+	check(t, w)
+}
+
+// A follower stands still, and its peers with it say nothing to it meanwhile. When it goes on
+// it knows of no fault of the leader: it stays healthy, and hands its users on.
+func TestFollowerThatStoodStillIsHealthyAtOnce(t *testing.T) {
+	w := world(t)
+	w.Run(5 * time.Second)
+	f := w.Nodes[1]
+	f.PausedUntil = w.Now + 10*time.Second
+	w.Network = func(kind, from, _ string) fake.Fate { // its greetings take a little longer
+		well := fake.Well()
+		if kind == "peer" && from == f.Name {
+			well.Request = 400 * time.Millisecond
+		}
+		return well
+	}
+	w.Run(10*time.Second + 100*time.Millisecond)
+	if !f.Healthy() {
+		t.Error("it takes the leader for unreachable because it stood still itself")
+	}
+	w.Run(3 * time.Second)
+	if !f.Healthy() {
+		t.Error("it isn't healthy though the leader answers")
+	}
+	check(t, w)
+}
+
+// The leader stands still with users' requests that a follower has handed to it, and more come
+// while nobody leads. All are answered by the next leader, within a second and a half of its
+// beginning, and none is told to come back.
+func TestRequestsOutliveALeaderThatStandsStill(t *testing.T) {
+	w := world(t)
+	w.Run(5 * time.Second)
+	l := w.Leader()
+	l.PausedUntil = w.Now + 30*time.Second
+	answers, refused := 0, 0
+	const asked = 20
+	for i := range asked {
+		w.After(time.Duration(i)*60*time.Millisecond, func() {
+			s := service(100+i, 1)
+			w.Nodes[1+i%2].Ask(coordination.UserCall{Kind: coordination.Submit, Job: s.ID, Submit: &s}, func(r coordination.Reply) {
+				if r.Status == 201 || r.Status == 200 {
+					answers++
+				} else {
+					refused++
+				}
+			})
+		})
+	}
+	if !w.Until(10*time.Second, func() bool { return w.Nodes[1].Leads() || w.Nodes[2].Leads() }) {
+		t.Fatal("nobody else leads")
+	}
+	w.Run(1500 * time.Millisecond)
+	if answers != asked {
+		t.Errorf("%d of %d requests are answered, %d refused", answers, asked, refused)
+	}
+	check(t, w)
+}
+
+// One controller stands still every few seconds. It costs a term at most each time, and after
+// the first the others keep the term.
+func TestControllerThatKeepsStandingStill(t *testing.T) {
+	w := world(t)
+	w.Submit(service(1, 3), 0)
+	w.Run(12 * time.Second)
+	l := w.Leader()
+	terms := func() int64 {
+		sum := int64(0)
+		for _, n := range w.Nodes {
+			sum += n.Stats().Terms
+		}
+		return sum
+	}
+	before := terms()
+	for range 12 {
+		l.PausedUntil = w.Now + 3*time.Second
+		w.Run(5 * time.Second)
+		w.PollAll()
+	}
+	if n := terms() - before; n > 2 {
+		t.Errorf("%d terms for a controller that stands still twelve times", n)
+	}
+	if w.KilledByLease > 0 {
+		t.Errorf("%d tasks ended by their lease", w.KilledByLease)
+	}
+	pollFor(w, 20*time.Second)
+	check(t, w)
+	served(t, w)
+}
+
+// The leader ends, and its lease lapses just as another controller goes on after it has stood
+// still. The third, which hasn't, has the first turn at the term.
+func TestTermGoesToAControllerThatHasNotStoodStill(t *testing.T) {
+	for ahead := 500 * time.Millisecond; ahead <= 1100*time.Millisecond; ahead += 50 * time.Millisecond {
+		w := world(t)
+		w.Run(5 * time.Second)
+		slow := w.Nodes[1]
+		slow.PausedUntil = w.Now + 4*time.Second
+		w.After(4*time.Second-ahead, w.Nodes[0].Crash)
+		if !w.Until(10*time.Second, func() bool { return slow.Leads() || w.Nodes[2].Leads() }) {
+			t.Fatal("nobody leads")
+		}
+		if slow.Leads() {
+			t.Errorf("the one that had stood still leads, %v after the leader's end", ahead)
+		}
+		check(t, w)
+	}
+}
+
+// Machines boot while the leader stands still, the state service being out. When it goes on,
+// they are up and have not been heard yet: none is called late, and no other is rented.
+func TestMachinesThatBootDuringAPauseAreNotRentedAgain(t *testing.T) {
+	w := world(t)
+	w.Run(20 * time.Second)
+	l := w.Leader()
+	before := l.Stats().Rented
+	s := service(1, 3)
+	s.CPUs = 4 // a machine each
+	w.Submit(s, 0)
+	if !w.Until(5*time.Second, func() bool { return l.Stats().Rented > before }) {
+		t.Fatal("nothing is rented")
+	}
+	w.Run(time.Second)
+	before = l.Stats().Rented
+	w.State.Outage(true)
+	goesOn := w.Now + 9*time.Second
+	w.Network = func(kind, _, to string) fake.Fate {
+		f := fake.Well()
+		f.LoseRequest = kind == "report" && to == l.Name && w.Now < goesOn
+		return f
+	}
+	l.PausedUntil = goesOn
+	w.Run(9 * time.Second)
+	w.State.Outage(false)
+	runs(t, w, s.ID, 3)
+	if rented := l.Stats().Rented; rented != before || !l.Leads() {
+		t.Errorf("%d machines rented before the pause, %d after", before, rented)
+	}
+	check(t, w)
+}
--- a/internal/coordination/return.go
+++ b/internal/coordination/return.go
@@ -35,19 +35,19 @@
 			why = "it has failed"
 		case !h.up && h.runningAt > 0:
 			// It came up in an earlier term, and is cut off: it may come back.
-			if len(h.tasks) == 0 && now-h.runningAt > e.rules.lease*5 {
+			if len(h.tasks) == 0 && now-e.n.pauses.Since(h.runningAt) > e.rules.lease*5 {
 				why = "it is silent"
 			}
 		case !h.up && len(h.tasks) == 0 && mt != nil && now-h.rentedAt > config.Seconds(mt.BootS*e.opt.GiveUpBoots):
 			why = "it never came up"
-		case h.up && h.session <= h.dead && now-h.heard > e.rules.lease*5:
+		case h.up && h.session <= h.dead && e.silentFor(h) > e.rules.lease*5:
 			why = "it is silent"
 		case h.up && len(h.tasks) == 0 && h.cordoned:
 			why = "it is cordoned"
 		case h.up && len(h.tasks) == 0 && len(h.others) == 0 && h.draining:
 			why = "it was emptied"
 		case h.up && len(h.tasks) == 0 && len(h.others) == 0 && !needed[h] && h.noticeAt == 0 &&
-			now-max(h.emptySince, e.ledAt) > e.keepIdle(mt):
+			now-e.n.pauses.Since(max(h.emptySince, e.ledAt)) > e.keepIdle(mt):
 			why = "it is idle"
 		}
 		if why == "" {
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -21,6 +21,10 @@
 	healthFor     time.Duration
 	probe         time.Duration // between a follower's greetings to the leader
 	probeTimeout  time.Duration // after which a leader that doesn't answer them counts as out of reach
+	pause         time.Duration // a process that takes longer from one step to the next has stood still
+	pausedBackOff time.Duration // how long a node that has stood still leaves a free term to others
+	deferFor      time.Duration // how long a request to change something waits for a leader to be known
+	deferMost     int           // how many such requests wait
 	cancelWithin  time.Duration // within which the tasks of a cancelled job have to be gone, from when its user is told
 	cancel        time.Duration // after which a machine that may not obey isn't answered
 	silent        time.Duration // a machine that has been silent for so long should have reported
@@ -50,6 +54,9 @@
 	archivePagesLeast = 4
 )
 
+// deferShare is the part of the connections whose requests may wait for a leader.
+const deferShare = 16
+
 // TermLease is how long the term's lease lasts: while it runs out after a leader
 // has ended, nobody can be served.
 func TermLease(w config.Workers) time.Duration {
@@ -84,6 +91,10 @@
 	r.endedKept = int(memory / endedShare / endedBytes)
 	r.archivePages = max(archivePagesLeast, int(memory/archiveCacheShare/(cfg.Settings.State.ValueKB*1024)))
 	r.backOff = r.ttl * 2
+	r.pause = r.report / 2
+	r.pausedBackOff = r.poll * 2
+	r.deferFor = r.ttl
+	r.deferMost = max(1, cfg.Settings.Limits.MaxConnections/deferShare)
 	r.guestPatience = r.lease * 4
 	r.passBackOff = r.sweep / 1000
 	// A look takes a fraction of a microsecond of a core. With this, passes leave most of the
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -103,7 +103,11 @@
 		return
 	}
 	if len(e.fleet.types) == 0 {
-		e.n.refuse(c.ID, "machine types not known yet")
+		if e.n.mayDefer(c) {
+			e.n.deferCall(c)
+		} else {
+			e.n.refuse(c.ID, "machine types not known yet")
+		}
 		return
 	}
 	if why := e.impossible(s); why != "" {
--- a/internal/coordination/writes_test.go
+++ b/internal/coordination/writes_test.go
@@ -273,12 +273,8 @@
 				if services[0].Told != protocol.StatusCancelled {
 					t.Errorf("told %q", services[0].Told)
 				}
-				rented := int64(0)
-				for _, n := range w.Nodes {
-					rented += n.Stats().Rented - n.Stats().Returned
-				}
-				if !m.crashes && rented != int64(len(w.Cloud.Rented())) {
-					t.Errorf("%d machines known of %d", rented, len(w.Cloud.Rented()))
+				if known, there := w.MachinesKnown(), len(w.Cloud.Rented()); !m.crashes && known != there {
+					t.Errorf("%d machines known of %d", known, there)
 				}
 			}
 		})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -34,9 +35,9 @@
 }
 
 type waiter struct {
-	reply chan coordination.Reply
-	raw   transport.Raw
-	since time.Duration
+	reply   chan coordination.Reply
+	raw     transport.Raw
+	request coordination.Request
 }
 
 type daemon struct {
@@ -54,9 +55,12 @@
 	workers *transport.Workers
 	cloud   *transport.Cloud
 	peers   *transport.Peers
-	group   *errgroup.Group
-	ctx     context.Context
-	tracker *trackerService // nil: not switched on
+	// Requests that are with other controllers, and who was last known to lead.
+	forwards *transport.Forwards
+	leader   string
+	group    *errgroup.Group
+	ctx      context.Context
+	tracker  *trackerService // nil: not switched on
 }
 
 const batch = 64
@@ -91,7 +95,7 @@
 		queue:   make(chan item, 4*batch), waits: map[uint64]waiter{},
 		state: storage.NewClient(cfg.Services.State, report/2, coordination.TermLease(s.Workers)/2),
 		cloud: transport.NewCloud(cfg.Services.Cloud, s.Workers),
-		peers: transport.NewPeers(cfg.Node, cfg.Peers, s.Workers),
+		peers: transport.NewPeers(cfg.Node, cfg.Peers, s.Workers), forwards: transport.NewForwards(),
 	}
 	d.healthy.Store(true)
 	limit := transport.NewLimit(s.Limits.MaxConnections/4, report, func() { d.metrics.shed.Add(1) })
@@ -183,6 +187,7 @@
 		if led && !d.node.Leads() {
 			d.dropWaits()
 		}
+		d.noteLeader()
 		d.healthy.Store(d.node.Healthy())
 		if d.tracker != nil {
 			d.tracker.see(d.node.Term())
@@ -190,6 +195,18 @@
 	}
 }
 
+// noteLeader has requests that are with a former leader put to the one that leads now.
+func (d *daemon) noteLeader() {
+	leader := d.node.Term().Leader
+	if d.node.Leads() {
+		leader = d.cfg.Node
+	}
+	if leader != "" && leader != d.leader {
+		d.leader = leader
+		d.forwards.LeaderIs(leader)
+	}
+}
+
 // accept numbers a request, so that its reply finds the way back.
 func (d *daemon) accept(it item) coordination.Command {
 	request, ok := it.command.(coordination.Request)
@@ -197,7 +214,7 @@
 		return it.command
 	}
 	d.nextID++
-	d.waits[d.nextID] = waiter{it.reply, it.raw, time.Since(d.began)}
+	d.waits[d.nextID] = waiter{it.reply, it.raw, request}
 	return request.WithID(d.nextID)
 }
 
@@ -228,17 +245,7 @@
 			w.reply <- transport.Busy("not the leader")
 			return
 		}
-		d.group.Go(func() error {
-			ctx, cancel := context.WithTimeout(d.ctx, 2*time.Second)
-			defer cancel()
-			r, ok := d.peers.Forward(ctx, e.Peer, w.raw.Method, w.raw.Path, w.raw.Body)
-			if !ok {
-				r = transport.Busy("the leader can't be reached")
-				r.Close = true
-			}
-			w.reply <- r
-			return nil
-		})
+		d.group.Go(func() error { d.forward(e.Peer, w); return nil })
 	case coordination.StateCall:
 		d.group.Go(func() error {
 			began := time.Now()
@@ -247,9 +254,23 @@
 			return nil
 		})
 	case coordination.CloudCall:
-		d.group.Go(func() error { d.push(d.cloud.Do(e)); return nil })
+		d.group.Go(func() error {
+			if d.tooLate(e.Until) {
+				d.push(coordination.CloudResult{ID: e.ID, Outcome: coordination.NotSent})
+				return nil
+			}
+			d.push(d.cloud.Do(e))
+			return nil
+		})
 	case coordination.OrdersCall:
-		d.group.Go(func() error { d.push(d.workers.Send(e)); return nil })
+		d.group.Go(func() error {
+			if d.tooLate(e.Until) {
+				d.push(coordination.OrdersResult{ID: e.ID, Host: e.Host, Outcome: coordination.NotSent})
+				return nil
+			}
+			d.push(d.workers.Send(e))
+			return nil
+		})
 	case coordination.PeerCall:
 		d.group.Go(func() error { d.push(d.peers.StepDown(d.ctx, e)); return nil })
 	case coordination.Log:
@@ -257,3 +278,33 @@
 		d.log.Log(d.ctx, level, e.Text, e.Args...)
 	}
 }
+
+// tooLate tells whether the time is over within which something may be sent; 0: it has none.
+func (d *daemon) tooLate(until time.Duration) bool {
+	return until > 0 && time.Since(d.began) >= until
+}
+
+// forward hands a request to the leader, and its answer back. If another leads before there
+// is one, the request is decided anew.
+func (d *daemon) forward(peer string, w waiter) {
+	ctx, cancel := context.WithTimeout(d.ctx, forwardWait)
+	defer cancel()
+	ctx, done := d.forwards.Begin(ctx, peer)
+	defer done()
+	r, ok := d.peers.Forward(ctx, peer, w.raw.Method, w.raw.Path, w.raw.Body)
+	if !ok && errors.Is(context.Cause(ctx), transport.ErrLeaderChanged) {
+		select {
+		case d.queue <- item{w.request, w.raw, w.reply}:
+		case <-d.ctx.Done():
+		}
+		return
+	}
+	if !ok {
+		r = transport.Busy("the leader can't be reached")
+		r.Close = true
+	}
+	w.reply <- r
+}
+
+// forwardWait is how long another controller may take for a user's request.
+const forwardWait = protocol.PollWaitS * time.Second
--- a/internal/fake/node.go
+++ b/internal/fake/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"oakpick/internal/config"
@@ -10,18 +11,35 @@
 	"oakpick/internal/storage"
 )
 
+// asked is a request that waits for its reply.
+type asked struct {
+	request  coordination.Request
+	reply    func(coordination.Reply)
+	fromPeer bool
+}
+
+// forwarded is a request that is with another node.
+type forwarded struct {
+	asked
+	peer string
+	over bool
+}
+
 // Node is a controller and its process.
 type Node struct {
-	w       *World
-	Name    string
-	Index   int
-	Up      bool
-	node    *coordination.Node
-	began   time.Duration
-	drift   float64
-	life    int
-	nextID  uint64
-	replies map[uint64]func(coordination.Reply)
+	w      *World
+	Name   string
+	Index  int
+	Up     bool
+	node   *coordination.Node
+	began  time.Duration
+	drift  float64
+	life   int
+	nextID uint64
+	asked  map[uint64]asked
+	// Requests that are with other nodes, and who was last known to lead.
+	forwarded []*forwarded
+	leader    string
 	// Paused until then: the process has no processor time.
 	PausedUntil time.Duration
 	// ClockOff is how far its time of day is ahead.
@@ -32,6 +50,9 @@
 	old bool
 	// Unhealthy keeps the load balancer from it.
 	Unhealthy bool
+	// Stall tells for how long the process stands still before it carries an effect out;
+	// nil: never.
+	Stall func(effect coordination.Effect) time.Duration
 	// remote carries requests to the process, if it runs outside the world.
 	remote Send
 }
@@ -49,7 +70,8 @@
 			cfg.Peers = append(cfg.Peers, config.Peer{Name: p.Name})
 		}
 	}
-	n.Up, n.began, n.replies = true, n.w.Now, map[uint64]func(coordination.Reply){}
+	n.Up, n.began, n.asked = true, n.w.Now, map[uint64]asked{}
+	n.forwarded, n.leader = nil, ""
 	n.life++
 	n.node = coordination.New(&cfg, fmt.Sprintf("%s-%d", n.Name, n.life), n.w.seeds)
 }
@@ -70,8 +92,13 @@
 func (n *Node) Stats() coordination.Stats { return n.node.Stats }
 
 func (n *Node) deliver(request coordination.Request, reply func(coordination.Reply)) {
+	n.take(asked{request: request, reply: reply})
+}
+
+// take has a request decided.
+func (n *Node) take(a asked) {
 	if n.remote != nil {
-		n.remote(request, reply)
+		n.remote(a.request, a.reply)
 		return
 	}
 	if !n.Up {
@@ -81,14 +108,14 @@
 		life := n.life
 		n.w.After(n.PausedUntil-n.w.Now, func() {
 			if n.life == life {
-				n.deliver(request, reply)
+				n.take(a)
 			}
 		})
 		return
 	}
 	n.nextID++
-	n.replies[n.nextID] = reply
-	n.step(request.WithID(n.nextID))
+	n.asked[n.nextID] = a
+	n.step(a.request.WithID(n.nextID))
 }
 
 func (n *Node) step(command coordination.Command) {
@@ -96,8 +123,58 @@
 		return
 	}
 	now := coordination.Now{Mono: n.Steady(), WallMs: (n.w.Now + n.ClockOff).Milliseconds() + 1_000_000}
-	for _, e := range n.node.Step(now, []coordination.Command{command}) {
-		n.perform(e, command)
+	n.carryOut(n.node.Step(now, []coordination.Command{command}))
+	n.noteLeader()
+}
+
+// carryOut performs effects, unless the process stands still before one of them: then the
+// rest is late.
+func (n *Node) carryOut(effects []coordination.Effect) {
+	life := n.life
+	for i, e := range effects {
+		stall := time.Duration(0)
+		if n.Stall != nil {
+			stall = n.Stall(e)
+		}
+		if stall > 0 {
+			n.PausedUntil = n.w.Now + stall
+			n.w.After(stall, func() {
+				if n.Up && n.life == life {
+					n.perform(e)
+					n.carryOut(effects[i+1:])
+				}
+			})
+			return
+		}
+		n.perform(e)
+	}
+}
+
+// tooLate tells whether the time is over within which an effect may be carried out, as the
+// daemon does.
+func (n *Node) tooLate(until time.Duration) bool { return until > 0 && n.Steady() >= until }
+
+// noteLeader has requests that are with a former leader put to the one that leads now.
+func (n *Node) noteLeader() {
+	if !n.Up {
+		return
+	}
+	leader := n.node.Term().Leader
+	if n.node.Leads() {
+		leader = n.Name
+	}
+	if leader == "" || leader == n.leader {
+		return
+	}
+	n.leader = leader
+	former := n.forwarded
+	n.forwarded = nil
+	for _, f := range former {
+		if f.over || f.peer == leader {
+			continue
+		}
+		f.over = true
+		n.w.After(0, func() { n.take(f.asked) })
 	}
 }
 
@@ -149,6 +226,12 @@
 	return time.Duration(float64(n.w.Now-n.began) * (1 + n.drift))
 }
 
+// answer brings a result to the process at once.
+func (n *Node) answer(r coordination.Command) {
+	life := n.life
+	n.w.After(0, func() { n.back(r, life) })
+}
+
 // back brings a result to the process, once it has processor time.
 func (n *Node) back(r coordination.Command, life int) {
 	if !n.Up || n.life != life {
@@ -161,17 +244,17 @@
 	n.step(r)
 }
 
-func (n *Node) perform(effect coordination.Effect, cause coordination.Command) {
+func (n *Node) perform(effect coordination.Effect) {
 	w := n.w
 	report := sec(w.Cfg.Settings.Workers.Report)
 	switch e := effect.(type) {
 	case coordination.Reply:
-		if f := n.replies[e.ID]; f != nil {
-			delete(n.replies, e.ID)
-			f(e)
+		if a, ok := n.asked[e.ID]; ok {
+			delete(n.asked, e.ID)
+			a.reply(e)
 		}
 	case coordination.Forward:
-		n.forward(e, cause)
+		n.forward(e)
 	case coordination.StateCall:
 		if n.old {
 			e.Txn = w.asProduction(e.Txn)
@@ -186,9 +269,17 @@
 		},
 			coordination.StateResult{StateResult: storage.StateResult{ID: e.ID, Outcome: storage.Lost}})
 	case coordination.CloudCall:
+		if n.tooLate(e.Until) {
+			n.answer(coordination.CloudResult{ID: e.ID, Outcome: coordination.NotSent})
+			return
+		}
 		n.call("cloud", "cloud", report, func() (coordination.Command, bool) { return w.Cloud.execute(e), true },
 			coordination.CloudResult{ID: e.ID, Outcome: coordination.Lost})
 	case coordination.OrdersCall:
+		if n.tooLate(e.Until) {
+			n.answer(coordination.OrdersResult{ID: e.ID, Host: e.Host, Outcome: coordination.NotSent})
+			return
+		}
 		for _, c := range e.Commands {
 			if j := w.Jobs[c.Attempt.Job]; c.Verb == protocol.Start && j != nil && j.Cancelled {
 				w.fail("started_cancelled", "%s sends a start of %s, which its user was told is cancelled", n.Name, c.Attempt.Job)
@@ -205,29 +296,40 @@
 }
 
 // forward hands a request to another node, and its reply back.
-func (n *Node) forward(e coordination.Forward, cause coordination.Command) {
+func (n *Node) forward(e coordination.Forward) {
 	w := n.w
-	request, ok := cause.(coordination.Request)
+	a, ok := n.asked[e.ID]
 	if !ok {
 		w.fail("forward", "%s hands on what is no request", n.Name)
 		return
 	}
-	reply := n.replies[e.ID]
-	delete(n.replies, e.ID)
+	delete(n.asked, e.ID)
 	p := w.node(e.Peer)
 	if p == nil {
 		return
 	}
-	f := w.fate("forward", n.Name, p.Name)
-	if f.LoseRequest {
+	if a.fromPeer { // as the daemon does: it could go round in circles
+		a.reply(coordination.Reply{Status: 503, RetryAfter: 1})
 		return
 	}
-	w.After(f.Request, func() {
-		p.deliver(request, func(r coordination.Reply) {
-			if !f.LoseAnswer {
-				w.After(f.Answer, func() { reply(r) })
+	f := &forwarded{asked: a, peer: p.Name}
+	n.forwarded = append(slices.DeleteFunc(n.forwarded, func(x *forwarded) bool { return x.over }), f)
+	fate := w.fate("forward", n.Name, p.Name)
+	if fate.LoseRequest {
+		return
+	}
+	w.After(fate.Request, func() {
+		p.take(asked{request: a.request, fromPeer: true, reply: func(r coordination.Reply) {
+			if fate.LoseAnswer {
+				return
 			}
-		})
+			w.After(fate.Answer, func() {
+				if !f.over {
+					f.over = true
+					a.reply(r)
+				}
+			})
+		}})
 	})
 }
 
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -1,11 +1,13 @@
 package fake
 
 import (
+	"encoding/json"
 	"slices"
 	"strconv"
 	"time"
 
 	"oakpick/internal/config"
+	"oakpick/internal/coordination"
 	"oakpick/internal/protocol"
 )
 
@@ -169,6 +171,27 @@
 	return nil
 }
 
+// MachinesKnown is how many machines the leader knows of, as it tells operators; -1: nobody
+// leads.
+func (w *World) MachinesKnown() int {
+	l := w.Leader()
+	if l == nil {
+		return -1
+	}
+	known := -1
+	l.Ask(coordination.AdminCall{Kind: coordination.AdminStatus}, func(r coordination.Reply) {
+		var status coordination.Status
+		if json.Unmarshal(r.Body, &status) != nil || status.Leads == nil {
+			return
+		}
+		known = 0
+		for _, m := range status.Leads.Machines {
+			known += m.Booting + m.Up + m.Silent
+		}
+	})
+	return known
+}
+
 // Running counts a job's tasks that run.
 func (w *World) Running(id string) int {
 	n := 0
