Jobs with a mistake: one try at a time, ever later; a machine is blamed once its jobs run elsewhere

Need: jobs that fail on every machine until their users cancel them. An array of hundreds began with all of its tasks at every try, a new leader began anew with all of them, and jobs that came together set machines aside that were well.

Change: internal/retry says when something is tried again (doubling, bounded, drawn apart). A job that has failed on three machines is tried one task or one gang at a time, a team's a little apart; nothing is stopped for it, and a machine is rented only after four leases. A new leader takes jobs for such that were started three times or more with nothing to show for it. A machine is set aside when two jobs have failed there and run well elsewhere; until then it rests. GET /admin/jobs/{id} and /admin/status (jobs_failing_everywhere) say so, and why.

Not caught by a story: that no machine is rented for such a job at first.

--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -69,6 +69,7 @@
 	AdminStatus AdminKind = iota
 	AdminRead
 	AdminChange
+	AdminJob
 )
 
 // AdminCall is a request of an operator; its body and its answer are JSON.
@@ -76,6 +77,7 @@
 	ID   uint64
 	Kind AdminKind
 	Body []byte
+	Job  string // that AdminJob is about
 }
 
 // optionsItem keeps what operators have changed, as facts are kept.
@@ -112,9 +114,13 @@
 }
 
 func (e *engine) admin(c AdminCall) {
-	if c.Kind == AdminRead {
+	switch c.Kind {
+	case AdminRead:
 		e.reply(c.ID, 200, asJSON(e.opt))
 		return
+	case AdminJob:
+		e.jobStatus(c)
+		return
 	}
 	opt, err := e.opt.With(c.Body)
 	if err != nil {
@@ -165,6 +171,7 @@
 	Machines    map[string]Machines `json:"machines"`
 	Doubts      []string            `json:"machines_in_doubt"`
 	Cordoned    []string            `json:"machines_set_aside"`
+	Failing     []string            `json:"jobs_failing_everywhere"`
 	Backlog     int                 `json:"pages_to_write"`
 	BacklogS    float64             `json:"oldest_page_waits_s"`
 	Pages       int                 `json:"pages"`
@@ -217,7 +224,7 @@
 	l := &LeaderStatus{
 		SinceS: (now - e.ledAt).Seconds(), CertainForS: max(0, e.n.term.until-now).Seconds(), Jobs: len(e.order), Over: len(e.finals), Archive: e.archive.status(),
 		Classes: map[string]Queue{}, Teams: map[string]TeamUse{}, Machines: map[string]Machines{},
-		Doubts: []string{}, Cordoned: []string{}, SteppedDown: []string{}, Backlog: pages, BacklogS: oldest.Seconds(), Pages: e.store.Pages(), Unsplit: e.store.Unsplit(),
+		Doubts: []string{}, Cordoned: []string{}, Failing: e.failingJobs(), SteppedDown: []string{}, Backlog: pages, BacklogS: oldest.Seconds(), Pages: e.store.Pages(), Unsplit: e.store.Unsplit(),
 	}
 	for name, t := range e.teams {
 		l.Teams[name] = TeamUse{
--- a/internal/coordination/consolidate.go
+++ b/internal/coordination/consolidate.go
@@ -164,7 +164,7 @@
 // not much: room there is free now, but taking it keeps that machine.
 func (e *engine) fitsMove(j *job, from, to *host, use map[string]int) bool {
 	return to != from && len(to.tasks) > 0 && e.alive(to) && j.allowed(to.kind, to.zone, to.spot) && j.zoneOK(to.zone, use) &&
-		!j.failedOn[to.name] && to.fetchTime(e, j) == 0 &&
+		!j.failures.on[to.name] && to.fetchTime(e, j) == 0 &&
 		e.perTask(j, offer{to.kind, to.zone, to.spot}) <= dearer*e.perTask(j, offer{from.kind, from.zone, from.spot})
 }
 
--- /dev/null
+++ b/internal/coordination/failures_test.go
@@ -0,0 +1,186 @@
+package coordination_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"oakpick/internal/coordination"
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+)
+
+// broken hands in a job that fails on every machine.
+func broken(w *fake.World, s protocol.Submission) *fake.Job {
+	j := w.Submit(s, 0)
+	j.Broken = true
+	return j
+}
+
+// countStarts counts the starts that workers execute of each job from now on.
+func countStarts(w *fake.World) map[string]int {
+	starts := map[string]int{}
+	w.Started = func(j *fake.Job, _ int) { starts[j.Sub.ID]++ }
+	return starts
+}
+
+// mistakes hands in an array, a gang, a service and single jobs that fail everywhere.
+func mistakes(w *fake.World) []*fake.Job {
+	array := job(1, protocol.Array, 300)
+	array.CPUs, array.Team = 0.1, "red"
+	alone := job(10, protocol.Array, 3) // on machines that nothing else needs
+	alone.GPUs = 2
+	jobs := []*fake.Job{broken(w, array), broken(w, job(2, protocol.Gang, 4)), broken(w, service(3, 2)), broken(w, alone)}
+	for i := range 6 {
+		jobs = append(jobs, broken(w, job(4+i, protocol.Array, 1)))
+	}
+	return jobs
+}
+
+// Jobs with a mistake come from two teams at once. After the first tries each is started ever
+// more rarely, an array one task at a time; nothing is rented and no machine set aside for
+// them, other jobs go on, and to cancel them takes no longer than for any.
+func TestJobsWithAMistakeCostLittle(t *testing.T) {
+	without, _ := playMistakes(t, func(*fake.World) []*fake.Job { return nil })
+	with, starts := playMistakes(t, mistakes)
+	if with > without+2 {
+		t.Errorf("%d machines were rented, %d without such jobs", with, without)
+	}
+	// In two minutes a job that waits two leases between tries has six or seven.
+	for id, n := range starts {
+		if most := 8; n > most {
+			t.Errorf("%s was started %d times, at most %d", id, n, most)
+		}
+	}
+}
+
+// playMistakes runs other jobs for two minutes beside some that fail everywhere, which have
+// come half a minute before. It gives how many machines were rented in that time, and the
+// starts of each failing job, a gang's as one.
+func playMistakes(t *testing.T, submit func(*fake.World) []*fake.Job) (rented int64, starts map[string]int) {
+	w := world(t)
+	w.Submit(service(50, 2), 0)
+	w.Run(15 * time.Second)
+	jobs := submit(w)
+	w.Run(30 * time.Second)
+	rented = -w.Leader().Stats().Rented
+	all := countStarts(w)
+	for i := range 8 {
+		w.Submit(job(60+i, protocol.Array, 2), 2*time.Second)
+		w.Run(15 * time.Second)
+		w.PollAll()
+	}
+	rented += w.Leader().Stats().Rented
+	starts = map[string]int{}
+	for _, j := range jobs {
+		starts[j.Sub.ID] = all[j.Sub.ID]
+		if j.Sub.Shape == protocol.Gang {
+			starts[j.Sub.ID] /= j.Sub.Tasks
+		}
+	}
+	if len(jobs) > 0 && starts[jobs[0].Sub.ID] == 0 {
+		t.Error("the array isn't tried any more")
+	}
+	if logged(w, "machine cordoned") {
+		t.Error("a machine is set aside")
+	}
+	for _, j := range jobs {
+		w.CancelEverywhere(j)
+	}
+	w.Run(4 * time.Second)
+	for _, j := range jobs {
+		if j.Told != protocol.StatusCancelled {
+			t.Errorf("%s is called %q", j.Sub.ID, j.Told)
+		}
+	}
+	pollFor(w, 30*time.Second)
+	check(t, w)
+	served(t, w)
+	return rented, starts
+}
+
+// The leader changes while jobs with a mistake are tried ever more rarely. The next one knows
+// nothing of their failures but how often they were started: it doesn't begin with all of
+// their tasks again.
+func TestSeriesOfFailuresOutlivesTheLeader(t *testing.T) {
+	w := world(t)
+	w.Submit(service(50, 2), 0)
+	w.Run(15 * time.Second)
+	jobs := mistakes(w)
+	w.Run(60 * time.Second)
+	for range 3 {
+		starts := countStarts(w)
+		endLeader(w)
+		w.Run(20 * time.Second)
+		if n := starts[jobs[0].Sub.ID]; n > 5 {
+			t.Errorf("the array of %d tasks was started %d times after a change of leader", jobs[0].Sub.Tasks, n)
+		}
+	}
+	good := w.Submit(job(70, protocol.Array, 6), 2*time.Second)
+	pollFor(w, 40*time.Second)
+	if good.Told != protocol.StatusDone {
+		t.Errorf("another job of the team is %q", good.Told)
+	}
+	check(t, w)
+}
+
+// One machine really is faulty, among jobs with a mistake: it is still found, and only it.
+func TestFaultyMachineIsFoundAmongJobsWithAMistake(t *testing.T) {
+	w := world(t)
+	a := w.Submit(service(50, 1), 0)
+	runs(t, w, a.Sub.ID, 1)
+	faulty := w.On(a.Sub.ID)[0]
+	w.Workers[faulty].Sick = true
+	mistakes(w)
+	for i := range 10 {
+		w.Submit(job(60+i, protocol.Array, 2), 2*time.Second)
+		w.Run(4 * time.Second)
+	}
+	pollFor(w, 60*time.Second)
+	for _, line := range w.Log {
+		if strings.Contains(line, "machine cordoned") && !strings.Contains(line, faulty) {
+			t.Errorf("another machine is set aside: %s", line)
+		}
+	}
+	if !logged(w, "machine cordoned [host "+faulty) {
+		t.Error("the faulty machine isn't set aside")
+	}
+	check(t, w)
+	served(t, w)
+}
+
+// A job fails on three faulty machines and is taken for the job's own fault. Its next try
+// completes: the rest of its tasks follow at once.
+func TestJobThatWasBlamedWronglyGoesOn(t *testing.T) {
+	w := world(t)
+	s := job(1, protocol.Array, 12)
+	s.CPUs = 2
+	j := broken(w, s) // as if every machine that it is tried on were faulty
+	w.Run(40 * time.Second)
+	if !logged(w, "job fails on every machine") {
+		t.Fatal("it isn't taken for the job's fault")
+	}
+	status := jobStatus(t, w, s.ID)
+	if status.Failures == nil || status.Failures.Fault != "job" || len(status.Failures.Machines) < 3 || status.Failures.Why == "" {
+		t.Errorf("operators are told %+v", status.Failures)
+	}
+	j.Broken = false
+	pollFor(w, 60*time.Second)
+	if j.Told != protocol.StatusDone {
+		t.Errorf("it is %q, %d of %d tasks done", j.Told, len(j.DoneTasks), s.Tasks)
+	}
+	check(t, w)
+}
+
+// jobStatus is what the leader tells operators of a job.
+func jobStatus(t *testing.T, w *fake.World, id string) coordination.JobStatus {
+	t.Helper()
+	var s coordination.JobStatus
+	w.Leader().Ask(coordination.AdminCall{Kind: coordination.AdminJob, Job: id}, func(r coordination.Reply) {
+		if err := json.Unmarshal(r.Body, &s); err != nil || r.Status != 200 {
+			t.Errorf("status %d, %v: %s", r.Status, err, r.Body)
+		}
+	})
+	return s
+}
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -19,6 +19,10 @@
 		return
 	}
 	hosts := e.placesForGang(j, idle)
+	if hosts == nil && j.failures.jobsFault {
+		e.waitsAfterFailures(j, idle)
+		return
+	}
 	if hosts == nil {
 		e.fleet.unplaced = append(e.fleet.unplaced, wait{j, idle})
 		if !j.guest() {
@@ -92,6 +96,7 @@
 			e.started(t)
 		}
 	})
+	e.tried(j)
 	for _, h := range hosts {
 		placed = append(placed, e.place(j, j.nextIdle(), h, w))
 	}
--- a/internal/coordination/guests.go
+++ b/internal/coordination/guests.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	waited := min(e.n.now.Mono-j.idleSince, time.Duration(e.n.now.WallMs-j.readyMs)*time.Millisecond)
-	return waited > e.rules.guestPatience
+	return waited > e.rules.patience
 }
 
 // roomFor is what of the room on a machine a job's tasks may take. Guests, on a machine
--- a/internal/coordination/hosts.go
+++ b/internal/coordination/hosts.go
@@ -47,7 +47,7 @@
 
 	noticeAt   time.Duration // when the cloud takes it; 0: not known to
 	pauseUntil time.Duration
-	failedJobs map[string]bool
+	failedJobs map[string]bool // jobs that have failed there; true: they run well elsewhere
 	cordoned   bool
 	returning  bool
 	leastOrder int           // of the tasks that could be stopped, see yielding
@@ -227,6 +227,7 @@
 			}
 			t.state = tr.State
 		}
+		e.notesRunning(t)
 	}
 	for a := range h.forget {
 		if !listed[a] {
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -38,12 +38,11 @@
 	over        bool
 	cursor      int // no task below is idle, unless in requeue
 	requeue     []int
-	failures    int
-	failedOn    map[string]bool
-	retryAt     time.Duration
-	hasRun      bool // a task of it has been seen running in this term
-	gangRan     bool // the present attempt has begun to run
-	gangEnding  bool // and is to end before the next
+	failures    failureSeries
+	retryAt     time.Duration // no task is placed before, for another reason than failures
+	hasRun      bool          // a task of it has been seen running in this term
+	gangRan     bool          // the present attempt has begun to run
+	gangEnding  bool          // and is to end before the next
 	idleSince   time.Duration
 	holdUntil   time.Duration // until when it may wait for a better machine; 0: hasn't
 	prefer      *host         // where a replica that is being moved is to go
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -35,6 +35,7 @@
 	})
 	e.loadDependencies()
 	e.settleInherited()
+	e.inheritFailures()
 	for _, r := range e.fleet.rentals {
 		e.loadRentedHosts(r)
 	}
@@ -265,7 +266,7 @@
 func (e *engine) newJob(r storage.JobRecord) *job {
 	j := &job{
 		JobRecord: r, e: e, blocks: map[int]*block{}, tasks: map[int]*task{}, idleSince: e.n.now.Mono,
-		need: need{r.CPUs, r.GPUs, r.MemoryGB}, failedOn: map[string]bool{}, kinds: strings.Join(r.Types, " "),
+		need: need{r.CPUs, r.GPUs, r.MemoryGB}, failures: failureSeries{on: map[string]bool{}}, kinds: strings.Join(r.Types, " "),
 		readyMs: r.SubmittedMs, blockTasks: e.rules.blockTasks,
 	}
 	// Without it the number of a block would mean other tasks once value_kb is changed.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -72,7 +72,7 @@
 	}
 	e.beginPass()
 	for _, j := range q {
-		if now < j.retryAt {
+		if now < j.retryAt || e.mayTry(j, j.idle()) == 0 {
 			e.fleet.unplaced = append(e.fleet.unplaced, wait{j, 0})
 			continue
 		}
@@ -80,7 +80,7 @@
 			e.placeGang(j)
 			continue
 		}
-		idle := j.idle()
+		idle := e.mayTry(j, j.idle())
 		later := j.awaitsRecord(idle)
 		idle -= later
 		use := j.zoneUse()
@@ -95,10 +95,15 @@
 			}
 			e.n.log(Debug, "task placed", "job", j.ID, "class", j.Class, "task", i, "host", h.name, "image", j.Image, "fetch_s", h.fetchTime(e, j))
 			e.place(j, i, h, nil)
+			e.tried(j)
 			h.virtual = h.virtual.minus(j.need)
 			use[h.zone]++
 			idle--
 		}
+		if j.failures.jobsFault {
+			e.waitsAfterFailures(j, min(idle, 1))
+			continue
+		}
 		left := e.withinLimit(j, idle)
 		if left+later > 0 {
 			e.fleet.unplaced = append(e.fleet.unplaced, wait{j, e.withinLimit(j, idle+later)})
@@ -202,7 +207,7 @@
 func (e *engine) choose(j *job, use map[string]int) *host {
 	if to := j.prefer; to != nil {
 		j.prefer = nil
-		if e.alive(to) && j.allowed(to.kind, to.zone, to.spot) && j.need.fits(to.virtual) && j.zoneOK(to.zone, use) && !j.failedOn[to.name] {
+		if e.alive(to) && j.allowed(to.kind, to.zone, to.spot) && j.need.fits(to.virtual) && j.zoneOK(to.zone, use) && !j.failures.on[to.name] {
 			return to
 		}
 	}
@@ -226,7 +231,7 @@
 		}
 		c := e.cost(j, h)
 		switch {
-		case j.failedOn[h.name]:
+		case j.failures.on[h.name]:
 			if c < againCost {
 				again, againCost = h, c
 			}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -9,7 +9,7 @@
 
 // mayPreempt tells whether a task may be stopped for a job.
 func mayPreempt(j *job, v *task) bool {
-	if v.job == j || v.job.Cancelled || len(j.failedOn) >= 3 {
+	if v.job == j || v.job.Cancelled || j.failures.jobsFault {
 		return false
 	}
 	// Whoever is stopped must not come before the job in the queue: it would take
@@ -89,7 +89,7 @@
 	// Within a pass room only shrinks: what was in vain for one job is so for the
 	// next that may stop the same. A zone's limit is the job's own affair.
 	// So are the places that its other tasks have been promised.
-	free := first && !j.Spread && !j.OneZone && len(j.failedOn) < 3
+	free := first && !j.Spread && !j.OneZone && !j.failures.jobsFault
 	if free && e.pass.vain[c] {
 		return nil, nil
 	}
--- a/internal/coordination/rules.go
+++ b/internal/coordination/rules.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oakpick/internal/config"
+	"oakpick/internal/retry"
 	"oakpick/internal/storage"
 )
 
@@ -25,10 +26,12 @@
 	pausedBackOff time.Duration // how long a node that has stood still leaves a free term to others
 	deferFor      time.Duration // how long a request to change something waits for a leader to be known
 	deferMost     int           // how many such requests wait
+	failure       retry.Policy  // of tasks that fail
+	tryApart      time.Duration // between tries of a team's jobs that fail everywhere
 	cancelWithin  time.Duration // within which the tasks of a cancelled job have to be gone, from when its user is told
 	cancel        time.Duration // after which a machine that may not obey isn't answered
 	silent        time.Duration // a machine that has been silent for so long should have reported
-	guestPatience time.Duration // how long a guest's job without any task waits for room that is cheap
+	patience      time.Duration // how long a job waits before more is done for it than its team or its failures allow
 	backOff       time.Duration // how long a node that gave up the term leaves it to others
 	sweep         time.Duration // between looks at all machines
 	passBackOff   time.Duration // for each job that waits in vain, between placement passes
@@ -54,6 +57,9 @@
 	archivePagesLeast = 4
 )
 
+// failureJitter is by what part of itself the wait after a failure is longer or shorter.
+const failureJitter = 0.25
+
 // deferShare is the part of the connections whose requests may wait for a leader.
 const deferShare = 16
 
@@ -91,11 +97,13 @@
 	r.endedKept = int(memory / endedShare / endedBytes)
 	r.archivePages = max(archivePagesLeast, int(memory/archiveCacheShare/(cfg.Settings.State.ValueKB*1024)))
 	r.backOff = r.ttl * 2
+	r.failure = retry.Policy{First: r.report / 4, Most: 2 * r.lease, Jitter: failureJitter}
+	r.tryApart = r.report / 8
 	r.pause = r.report / 2
 	r.pausedBackOff = r.poll * 2
 	r.deferFor = r.ttl
 	r.deferMost = max(1, cfg.Settings.Limits.MaxConnections/deferShare)
-	r.guestPatience = r.lease * 4
+	r.patience = r.lease * 4
 	r.passBackOff = r.sweep / 1000
 	// A look takes a fraction of a microsecond of a core. With this, passes leave most of the
 	// process's share of one to the rest.
--- a/internal/coordination/task.go
+++ b/internal/coordination/task.go
@@ -160,7 +160,7 @@
 	case protocol.Done:
 		e.n.Stats.Finished++
 		e.ran(j, now-t.ranSince, t.ranSince >= 0 && !t.inherited)
-		j.failures = 0
+		e.runsWell(j, h)
 		e.markDone(j, t.index)
 		if j.Shape == protocol.Gang { // complete together
 			// The others are still on their machines until these say so: one may hang.
@@ -169,7 +169,7 @@
 			}
 		}
 	case protocol.Failed:
-		e.failed(j, h)
+		e.failed(t)
 	case protocol.NoRoom, protocol.Busy:
 		h.pauseUntil = now + e.rules.report
 	case protocol.Unknown:
@@ -277,31 +277,6 @@
 	}
 }
 
-// failed notes a task's error: a machine where different jobs fail is set
-// aside; a job that fails on different machines is retried ever more slowly.
-func (e *engine) failed(j *job, h *host) {
-	e.n.Stats.Failed++
-	now := e.n.now.Mono
-	j.failures++
-	j.failedOn[h.name] = true
-	wait := e.rules.report / 4 << min(j.failures-1, 6)
-	j.retryAt = now + min(wait, 2*e.rules.lease)
-	if len(j.failedOn) >= 3 {
-		// It fails wherever it goes: nothing is said against the machines.
-		for _, x := range e.byName {
-			delete(x.failedJobs, j.ID)
-			x.cordoned = x.cordoned && len(x.failedJobs) >= 2
-		}
-		return
-	}
-	h.failedJobs[j.ID] = true
-	h.pauseUntil = max(h.pauseUntil, now+e.rules.lease)
-	if len(h.failedJobs) >= 2 && !h.cordoned {
-		h.cordoned = true
-		e.n.log(Info, "machine cordoned", "host", h.name, "why", "tasks of different jobs fail there", "jobs", len(h.failedJobs))
-	}
-}
-
 // stop tells a task to end; a gang's tasks are told together.
 func (e *engine) stop(t *task, grace float64) {
 	if t.stopping && (grace >= t.grace || t.grace == 0) {
--- a/internal/coordination/team.go
+++ b/internal/coordination/team.go
@@ -1,14 +1,19 @@
 package coordination
 
-import "oakpick/internal/config"
+import (
+	"time"
+
+	"oakpick/internal/config"
+)
 
 // team is a team's use and limits.
 type team struct {
 	config.Team
 	guest   bool // has no guarantee while others do, see guests.go
 	used    need
-	leaving need // of that, what stopping tasks are about to leave
-	owed    need // of that, what the present pass has promised to jobs that wait for it
+	tryAt   time.Duration // no job that fails everywhere is tried before, see failures.go
+	leaving need          // of that, what stopping tasks are about to leave
+	owed    need          // of that, what the present pass has promised to jobs that wait for it
 	// As of the last pass: what work that ends takes, and what waits of it.
 	ends, endsWait need
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -40,14 +40,15 @@
 // listener.
 func newAdmin(d *daemon, limit *transport.Limit) http.Handler {
 	mux := http.NewServeMux()
-	call := func(w http.ResponseWriter, r *http.Request, kind coordination.AdminKind) {
+	call := func(w http.ResponseWriter, r *http.Request, question coordination.AdminCall) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, protocol.MaxBody))
 		if err != nil {
 			writeJSON(w, http.StatusBadRequest, map[string]string{"error": "body too large"})
 			return
 		}
 		raw := transport.Raw{Method: r.Method, Path: r.URL.Path, Body: body, FromPeer: r.Header.Get(transport.ForwardedHeader) != ""}
-		reply := d.Do(coordination.AdminCall{Kind: kind, Body: body}, raw, protocol.SubmitWaitS*time.Second)
+		question.Body = body
+		reply := d.Do(question, raw, protocol.SubmitWaitS*time.Second)
 		if reply.RetryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.Itoa(reply.RetryAfter))
 			writeJSON(w, reply.Status, map[string]string{"error": "no leader can be asked now"})
@@ -57,9 +58,18 @@
 		w.WriteHeader(reply.Status)
 		_, _ = w.Write(reply.Body) // the asker may have gone
 	}
-	mux.HandleFunc("GET /admin/status", func(w http.ResponseWriter, r *http.Request) { call(w, r, coordination.AdminStatus) })
-	mux.HandleFunc("GET /admin/settings", func(w http.ResponseWriter, r *http.Request) { call(w, r, coordination.AdminRead) })
-	mux.HandleFunc("PATCH /admin/settings", func(w http.ResponseWriter, r *http.Request) { call(w, r, coordination.AdminChange) })
+	mux.HandleFunc("GET /admin/status", func(w http.ResponseWriter, r *http.Request) {
+		call(w, r, coordination.AdminCall{Kind: coordination.AdminStatus})
+	})
+	mux.HandleFunc("GET /admin/settings", func(w http.ResponseWriter, r *http.Request) {
+		call(w, r, coordination.AdminCall{Kind: coordination.AdminRead})
+	})
+	mux.HandleFunc("PATCH /admin/settings", func(w http.ResponseWriter, r *http.Request) {
+		call(w, r, coordination.AdminCall{Kind: coordination.AdminChange})
+	})
+	mux.HandleFunc("GET /admin/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
+		call(w, r, coordination.AdminCall{Kind: coordination.AdminJob, Job: r.PathValue("id")})
+	})
 	mux.HandleFunc("GET /admin/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		now, inFlight := limit.Now()
 		writeJSON(w, http.StatusOK, map[string]any{
