--- a/internal/scale/weights_run.go
+++ b/internal/scale/weights_run.go
@@ -5,24 +5,19 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/BurntSushi/toml"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/time/rate"
 
 	"oakpick/internal/config"
 	"oakpick/internal/distribution"
 	"oakpick/internal/distribution/agent"
 	"oakpick/internal/distribution/operator"
-	"oakpick/internal/distribution/registry"
-	"oakpick/internal/distribution/tracker"
 )
 
 // Names of the weights of a run: one agent alone fetches the first, the fleet the second.
@@ -357,206 +352,3 @@
 		r.mu.Unlock()
 	}
 }
-
-// fault brings a fault about at its time, unless all are ready before.
-func (r *weightsRun) fault(ctx context.Context, f timedFault, alone time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-time.After(time.Duration(f.at * float64(alone))):
-	}
-	r.say("fault: %s", f.kind)
-	err := r.apply(ctx, f.kind, alone)
-	if err != nil {
-		return fmt.Errorf("fault %s: %w", f.kind, err)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.report.Applied = append(r.report.Applied, fmt.Sprintf("%s@%g", f.kind, f.at))
-	return nil
-}
-
-func (r *weightsRun) apply(ctx context.Context, kind string, alone time.Duration) error {
-	switch kind {
-	case faultKill, faultHang, faultRestart:
-		return r.failAgent(ctx, kind)
-	case faultLeader:
-		return r.failLeader(ctx)
-	case faultStore:
-		r.store.out.Store(true)
-		defer r.store.out.Store(false)
-		select {
-		case <-ctx.Done():
-		case <-time.After(alone):
-		}
-	case faultWrong:
-		r.store.wrong.Store(wrongAnswers)
-	case faultCut:
-		r.store.cut.Store(wrongAnswers)
-	case faultVersion:
-		return r.changeVersion(ctx)
-	}
-	return nil
-}
-
-// failLeader kills the controller that leads, and starts it again a second later.
-func (r *weightsRun) failLeader(ctx context.Context) error {
-	leader := -1
-	err := r.until(ctx, time.Minute, "nobody leads", func() bool {
-		leader = r.play.controllers.leader()
-		return leader >= 0
-	})
-	if err != nil {
-		return err
-	}
-	r.play.controllers.kill(leader)
-	time.Sleep(time.Second)
-	return r.play.controllers.start(leader)
-}
-
-// failAgent fails the agent that holds most without holding all.
-func (r *weightsRun) failAgent(ctx context.Context, kind string) error {
-	var status tracker.Status
-	err := r.until(ctx, time.Minute, "no controller tells who holds what", func() bool {
-		var err error
-		status, err = r.operator.Status(ctx, fleetName)
-		return err == nil && len(status.Members) > 0
-	})
-	if err != nil {
-		return err
-	}
-	partly := slices.DeleteFunc(status.Members, func(m tracker.AgentStatus) bool { return m.Total > 0 && m.Chunks == m.Total })
-	if len(partly) == 0 {
-		return errors.New("every agent holds all already")
-	}
-	most := slices.MaxFunc(partly, func(a, b tracker.AgentStatus) int { return a.Chunks - b.Chunks })
-	i := slices.IndexFunc(r.agents, func(a *agentProcess) bool { return a.settings.Agent == most.Agent })
-	a := r.agents[i]
-	r.mu.Lock()
-	r.report.Failed = append(r.report.Failed, fmt.Sprintf("%s %s with %d of %d chunks", kind, most.Agent, most.Chunks, most.Total))
-	r.mu.Unlock()
-	a.gone.Store(kind != faultRestart)
-	if kind == faultHang {
-		a.stop()
-		return nil
-	}
-	a.kill()
-	if kind == faultRestart {
-		return a.start(ctx)
-	}
-	return nil
-}
-
-func (r *weightsRun) changeVersion(ctx context.Context) error {
-	count, size := r.p.chunks()
-	m, err := r.store.publish(count, size, r.wanted(), count/2)
-	if err != nil {
-		return err
-	}
-	r.mu.Lock()
-	r.version = m
-	r.mu.Unlock()
-	return r.use(ctx, fleetName, m)
-}
-
-// verify reads every byte that agents serve.
-func (r *weightsRun) verify(ctx context.Context) error {
-	want := r.store.sum(r.wanted())
-	var mu sync.Mutex
-	err := each(r.agents, func(a *agentProcess) error {
-		got, err := a.sum(ctx, fleetName)
-		if err == nil && got != want {
-			err = fmt.Errorf("%s %w", a.settings.Agent, errDiffers)
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		if err == nil {
-			r.report.Verified++
-		}
-		return err
-	})
-	return err
-}
-
-// measure notes what each agent has fetched from where, and what it takes while idle.
-func (r *weightsRun) measure(ctx context.Context, m *distribution.Manifest) error {
-	first, err := r.takeMetrics()
-	if err != nil {
-		return err
-	}
-	r.report.PeersMB, r.report.FromStoreMB = map[string]float64{}, map[string]float64{}
-	fetching := 0.0
-	for name, x := range first {
-		r.report.PeersMB[name] = x[`oakpick_agent_downloaded_bytes{from="peers"}`] / mebibyte
-		r.report.FromStoreMB[name] = x[`oakpick_agent_downloaded_bytes{from="store"}`] / mebibyte
-		r.report.MemoryMB = max(r.report.MemoryMB, x["process_resident_memory_bytes"]/mebibyte)
-		fetching += x[`oakpick_agent_control_bytes_total`]
-	}
-	agents := float64(len(first))
-	r.report.ControlBytesPerS = fetching / agents / r.report.FleetS
-	r.report.FetchedMB = float64(m.Size) / mebibyte * agents
-	if r.p.IdleS == 0 {
-		return nil
-	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(time.Duration(r.p.IdleS * float64(time.Second))):
-	}
-	second, err := r.takeMetrics()
-	if err != nil {
-		return err
-	}
-	for _, name := range slices.Collect(maps.Keys(first)) {
-		spent := second[name]["process_cpu_seconds_total"] - first[name]["process_cpu_seconds_total"]
-		r.report.IdleCores += spent / r.p.IdleS / agents
-		r.report.IdleControlBytesPerS += (second[name]["oakpick_agent_control_bytes_total"] - first[name]["oakpick_agent_control_bytes_total"]) / r.p.IdleS / agents
-	}
-	return nil
-}
-
-// takeMetrics reads the metrics of all agents that are to be ready.
-func (r *weightsRun) takeMetrics() (map[string]map[string]float64, error) {
-	var mu sync.Mutex
-	out := map[string]map[string]float64{}
-	err := each(r.agents, func(a *agentProcess) error {
-		x, err := a.metrics()
-		mu.Lock()
-		defer mu.Unlock()
-		out[a.settings.Agent] = x
-		return err
-	})
-	return out, err
-}
-
-// fromStore times as many clients as there are agents, each of which fetches everything from
-// the store, whose uplink they share.
-func (r *weightsRun) fromStore(ctx context.Context) (time.Duration, error) {
-	m := r.wanted()
-	began := time.Now()
-	var group errgroup.Group
-	for range r.p.Agents {
-		group.Go(func() error {
-			limit := rate.NewLimiter(rate.Limit(r.p.RateMB*mebibyte), pacedBytes)
-			client := registry.NewClient(time.Minute, limit, nil)
-			defer client.Close()
-			return fetchAll(ctx, client, r.storeAddress(), m)
-		})
-	}
-	err := group.Wait()
-	return time.Since(began), err
-}
-
-// fetchAll fetches and verifies every chunk of a version.
-func fetchAll(ctx context.Context, client *registry.Client, store string, m *distribution.Manifest) error {
-	for _, c := range m.Chunks {
-		hash := c.Digest.Algorithm().Digester()
-		fetched := client.Blob(ctx, registry.BlobRequest{
-			Address: store, Name: fleetName, Manifest: m.Digest, Chunk: c, Stall: clientOwnStalls * time.Second, Within: time.Hour,
-		}, func(body io.Reader) { _, _ = io.Copy(hash.Hash(), body) }) // the digest tells whether all came
-		if fetched.Fault != "" || hash.Digest() != c.Digest {
-			return fmt.Errorf("a client that fetches from the store: %s: %q", c.Digest, fetched.Fault)
-		}
-	}
-	return nil
-}
