--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -100,7 +100,7 @@
 		}
 	}
 	for _, r := range slices.Clone(f.rentals) {
-		if r.ready && !r.Answered && !r.calling && now >= r.again {
+		if r.ready && !r.Answered && !r.calling && now >= r.retryAt {
 			r.calling = e.cloud(CloudCall{Op: CloudRent, Rental: protocol.Rental{
 				Request: r.Request, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: r.Count,
 			}}, cloudCall{op: CloudRent, rental: r})
@@ -267,7 +267,7 @@
 		e.store.Remove(now, r, nil)
 	default:
 		// It may have been done: only its own name asks again without renting twice.
-		r.again = now + e.rules.report/3
+		r.retryAt = now + e.rules.report/3
 	}
 }
 
@@ -336,7 +336,7 @@
 type rental struct {
 	storage.RentalRecord
 	calling bool
-	again   time.Duration
+	retryAt time.Duration
 	ready   bool // durable, so that it may be sent
 }
 
--- a/internal/coordination/limits.go
+++ b/internal/coordination/limits.go
@@ -39,7 +39,7 @@
 		return n
 	}
 	short := lack()
-	if vain, ok := e.pass.vainLimit[t]; !short.fits(need{}) && (!ok || order(j) > vain) {
+	if highest, ok := e.pass.noneToStop[t]; !short.fits(need{}) && (!ok || order(j) > highest) {
 		var may []*task
 		for _, v := range e.order {
 			if v.team != t || v.priority() >= j.priority() || v.over || v.Cancelled || order(v) >= order(j) || v.Shape == protocol.Service {
@@ -52,7 +52,7 @@
 			}
 		}
 		if len(may) == 0 {
-			e.pass.vainLimit[t] = order(j)
+			e.pass.noneToStop[t] = order(j)
 		}
 		// What doesn't run yet first, then what costs least, the latest first.
 		slices.SortStableFunc(may, func(a, b *task) int {
--- a/internal/coordination/packing.go
+++ b/internal/coordination/packing.go
@@ -11,13 +11,13 @@
 
 // bin is a machine, or one to be rented, in the plan.
 type bin struct {
-	h     *host
-	offer offer
-	room  need
-	ready time.Duration // until it is up
-	late  bool          // it should have been up by now
-	used  bool
-	index int // in the plan, which decides between equals
+	h       *host
+	offer   offer
+	room    need
+	ready   time.Duration // until it is up
+	overdue bool          // it should have been up by now
+	used    bool
+	index   int // in the plan, which decides between equals
 }
 
 // packing is a plan being made: what waits, and the room to be kept, are packed into
@@ -32,9 +32,9 @@
 	warm bool // room to be kept is being packed, not what waits
 }
 
-// lateBoot is after how many times its type's boot time replicas that wait no longer
+// overdueBoot is after how many times its type's boot time replicas that wait no longer
 // count on a machine that isn't up.
-const lateBoot = 1.1
+const overdueBoot = 1.1
 
 // lostRoom is for how many times as many replicas room is rented if they were lost while
 // they ran: of several machines one is up sooner than any one of them, and the rest are
@@ -196,7 +196,7 @@
 // passOver tells whether a bin is left to others, because a new machine would be up before
 // it. What is rented instead is among the bins of the next plan.
 func (c *candidates) passOver(b *bin, o offer) bool {
-	return c.sooner(b, o) || b.late && c.p.waits(c.j)
+	return c.sooner(b, o) || b.overdue && c.p.waits(c.j)
 }
 
 // sooner tells whether a task that would wait for a booting machine is better
--- a/internal/coordination/packing_test.go
+++ b/internal/coordination/packing_test.go
@@ -39,7 +39,7 @@
 	e := p.e
 	k := packed{j.shape(), spotOnly, p.warm, j.Shape == protocol.Service}
 	o, ok := e.cheapest(j, use, tasks, spotOnly)
-	passOver := func(b *bin) bool { return ok && (p.sooner(j, b, o) || b.late && p.waits(j)) }
+	passOver := func(b *bin) bool { return ok && (p.sooner(j, b, o) || b.overdue && p.waits(j)) }
 	b := p.pack(p.bins[p.from[k]:], j, use, spotOnly, passOver)
 	if b == nil && !j.Spread && !j.OneZone {
 		p.from[k] = len(p.bins)
@@ -116,7 +116,7 @@
 			x.h = &host{name: fmt.Sprint("h", i)}
 		case 2: // booting
 			x.h = &host{name: fmt.Sprint("h", i)}
-			x.ready, x.late = config.Seconds(rapid.SampledFrom([]float64{1, 6, 30}).Draw(t, "ready")), rapid.Bool().Draw(t, "late")
+			x.ready, x.overdue = config.Seconds(rapid.SampledFrom([]float64{1, 6, 30}).Draw(t, "ready")), rapid.Bool().Draw(t, "late")
 		case 3: // asked for
 			x.ready = config.Seconds(e.fleet.kind(o.kind).BootS)
 		}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -123,13 +123,13 @@
 	room    map[shape][]*host // machines with room for such a task
 	freeing []*host           // those that stopping tasks are about to leave
 	// Machines with tasks that jobs of an order may have stopped.
-	yieldingAbove map[int][]*host
-	booting       []*host
-	machines      int64          // looked at
-	tasks         int64          // looked at, of machines where some might be stopped
-	vain          map[claim]bool // no task that may be stopped makes room for these
+	yieldingAbove    map[int][]*host
+	booting          []*host
+	machines         int64          // looked at
+	tasks            int64          // looked at, of machines where some might be stopped
+	noRoomByStopping map[claim]bool // no task that may be stopped makes room for these
 	// Nothing of the team may be stopped for its jobs of up to this order.
-	vainLimit map[*team]int
+	noneToStop map[*team]int
 }
 
 // looks is how much a pass has looked at, in machines: so many tasks take as long as one.
@@ -160,7 +160,7 @@
 
 func (e *engine) beginPass() {
 	p := &e.pass
-	p.room, p.vain, p.vainLimit = map[shape][]*host{}, map[claim]bool{}, map[*team]int{}
+	p.room, p.noRoomByStopping, p.noneToStop = map[shape][]*host{}, map[claim]bool{}, map[*team]int{}
 	p.freeing, p.booting, p.yieldingAbove = p.freeing[:0], p.booting[:0], nil
 	for _, t := range e.teams {
 		t.owed = need{}
@@ -212,8 +212,8 @@
 		}
 	}
 	list := e.withRoom(j)
-	var best, again *host // again: the task has failed there
-	bestCost, againCost := math.Inf(1), math.Inf(1)
+	var best, failedThere *host // failedThere: only if there is no other
+	bestCost, failedThereCost := math.Inf(1), math.Inf(1)
 	for i, looked := 0, 0; i < len(list) && looked < e.opt.Sample; {
 		e.n.Stats.HostsSeen++
 		r := i + e.n.rng.IntN(len(list)-i)
@@ -232,8 +232,8 @@
 		c := e.cost(j, h)
 		switch {
 		case j.failures.on[h.name]:
-			if c < againCost {
-				again, againCost = h, c
+			if c < failedThereCost {
+				failedThere, failedThereCost = h, c
 			}
 		case c < bestCost || c == bestCost && h.name < best.name: // equals fill up one after the other, not side by side
 			best, bestCost = h, c
@@ -243,7 +243,7 @@
 		}
 	}
 	if best == nil {
-		best = again
+		best = failedThere
 	}
 	if best != nil && e.betterSoon(j, best) {
 		return nil
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -65,8 +65,8 @@
 			age := e.n.now.Mono - h.rentedAt
 			bins = append(bins, &bin{
 				h: h, offer: offer{h.kind, h.zone, h.spot}, room: size(mt),
-				ready: max(config.Seconds(mt.BootS)-age, config.Seconds(mt.BootS/10)),
-				late:  age > config.Seconds(mt.BootS*lateBoot),
+				ready:   max(config.Seconds(mt.BootS)-age, config.Seconds(mt.BootS/10)),
+				overdue: age > config.Seconds(mt.BootS*overdueBoot),
 			})
 		}
 	}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -90,7 +90,7 @@
 	// next that may stop the same. A zone's limit is the job's own affair.
 	// So are the places that its other tasks have been promised.
 	free := first && !j.Spread && !j.OneZone && !j.failures.jobsFault
-	if free && e.pass.vain[c] {
+	if free && e.pass.noRoomByStopping[c] {
 		return nil, nil
 	}
 	list := e.yielding(c.order)
@@ -137,7 +137,7 @@
 	}
 	if bestCost > e.opt.PreemptMostS {
 		if free && best == nil {
-			e.pass.vain[c] = true
+			e.pass.noRoomByStopping[c] = true
 		}
 		return nil, nil
 	}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -356,7 +356,7 @@
 	if l == nil {
 		return
 	}
-	again := func() {
+	readOn := func() {
 		after := ""
 		if len(l.entries) > 0 {
 			after = l.entries[len(l.entries)-1].Key
@@ -377,14 +377,14 @@
 	case r.Outcome == Conflict:
 		n.stepDown("another took the term")
 	case r.Outcome != OK:
-		again()
+		readOn()
 	case why == forBarrier:
 		l.barrier = true
-		again()
+		readOn()
 	default:
 		l.entries = append(l.entries, r.List.Entries...)
 		l.pages = !r.List.More
-		again()
+		readOn()
 	}
 }
 
