Questions are shed first: submissions wait in the limit and go before them; Retry-After drawn

Need: users ask many times as often. Change: a submission that the limit can't let in waits for a quarter of a report and has the next permit; a question is refused at once, to come back after one to four seconds.

--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -163,7 +163,11 @@
 	if call.Kind == coordination.Cancel || raw.FromPeer {
 		return owner.Do(call, raw, userWait(call.Kind))
 	}
-	return limit.Run(func() coordination.Reply { return owner.Do(call, raw, userWait(call.Kind)) })
+	answer := func() coordination.Reply { return owner.Do(call, raw, userWait(call.Kind)) }
+	if call.Kind == coordination.Submit {
+		return limit.RunFirst(answer)
+	}
+	return limit.Run(answer)
 }
 
 // PeerServer serves the other controllers, and what is mounted beside them.
--- a/internal/transport/overload_test.go
+++ b/internal/transport/overload_test.go
@@ -84,3 +84,41 @@
 		t.Errorf("%d answers in time with the limit, %d without", with, without)
 	}
 }
+
+// Questions take every permit, and come again at once whenever one is refused. A submission
+// waits for the first permit that is given back and goes before all of them; one for which
+// none is given back in time is told to come back.
+func TestSubmissionsGoBeforeQuestions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limit := NewLimit(8, 2*time.Second, func() {})
+		answered := func() coordination.Reply { return coordination.Reply{Status: 200} }
+		hold, asked := make(chan struct{}), 0
+		for limit.limiter.CanAcquirePermit() {
+			go limit.Run(func() coordination.Reply { <-hold; return answered() })
+			asked++
+			synctest.Wait()
+		}
+		if r := limit.RunFirst(answered); r.Status != 503 {
+			t.Errorf("a submission got %d while every permit was held", r.Status)
+		}
+		got := make(chan int, 1)
+		go func() { got <- limit.RunFirst(answered).Status }()
+		synctest.Wait()
+		if r := limit.Run(answered); r.Status != 503 || r.RetryAfter < retrySoon || r.RetryAfter >= retrySoon+retrySpread {
+			t.Errorf("a question got %d, to come back after %d s", r.Status, r.RetryAfter)
+		}
+		hold <- struct{}{}
+		synctest.Wait()
+		select {
+		case status := <-got:
+			if status != 200 {
+				t.Errorf("the submission got %d", status)
+			}
+		default:
+			t.Error("the submission still waits")
+		}
+		for range asked - 1 {
+			hold <- struct{}{}
+		}
+	})
+}
