Pauses: questions that are outlived are dropped, stories of two controllers that stand still

The owner that wakes to a full queue drops questions whose users have been told to come back (questions_outlived), and carries out the rest. /admin/metrics has the pauses. Stories: two of three stand still for a lease (none killed at 14 s and 3 s), the leader while another is refused.

--- a/internal/coordination/pauses_test.go
+++ b/internal/coordination/pauses_test.go
@@ -363,3 +363,71 @@
 	}
 	check(t, w)
 }
+
+// The leader and another stand still together for as long as a worker's lease. The third leads
+// within a second or two. By the protocol a worker waits four seconds at each of the two and
+// one more before the next node, so that it comes to the third after ten seconds and a report
+// interval at most: where the lease is longer than that, no task ends by it.
+func TestTwoOfThreeStandStill(t *testing.T) {
+	for leader := range 3 {
+		for other := range 3 {
+			if other == leader {
+				continue
+			}
+			s := fake.Settings()
+			s.Workers.Report, s.Workers.Lease, s.Workers.Cancel = 3, 14, 34
+			w := fake.NewWorld(s)
+			for i := range 4 {
+				w.Submit(service(i+1, 3), 0)
+			}
+			w.Run(30 * time.Second)
+			for w.Leader() != w.Nodes[leader] { // hand the term on until the right one has it
+				l := w.Leader()
+				if l == nil {
+					w.Run(time.Second)
+					continue
+				}
+				l.PausedUntil = w.Now + 2*time.Second
+				w.Run(4 * time.Second)
+			}
+			w.Run(20 * time.Second)
+			third := w.Nodes[3-leader-other]
+			killed := w.KilledByLease
+			w.Nodes[leader].PausedUntil = w.Now + 14*time.Second
+			w.Nodes[other].PausedUntil = w.Now + 14*time.Second
+			if !w.Until(3*time.Second, third.Leads) {
+				t.Errorf("the third doesn't lead after 3 s")
+			}
+			pollFor(w, 40*time.Second)
+			if n := w.KilledByLease - killed; n > 0 {
+				t.Errorf("leader %d and %d: %d tasks ended by their lease", leader, other, n)
+			}
+			check(t, w)
+			served(t, w)
+		}
+	}
+}
+
+// The leader stands still while the state service refuses one of the others: the third leads,
+// and users of each are served.
+func TestLeaderStandsStillWhileAnotherIsRefused(t *testing.T) {
+	w := world(t)
+	j := w.Submit(service(1, 2), 0)
+	runs(t, w, j.Sub.ID, 2)
+	w.State.Cut["n1"] = true
+	w.Nodes[0].PausedUntil = w.Now + 20*time.Second
+	if !w.Until(5*time.Second, w.Nodes[2].Leads) {
+		t.Fatal("the third doesn't lead")
+	}
+	w.Run(2 * time.Second)
+	called := w.Submit(service(2, 1), 0)
+	w.CancelEverywhere(j)
+	pollFor(w, 12*time.Second)
+	if !called.Accepted || j.Told != protocol.StatusCancelled {
+		t.Errorf("accepted %t, told %q", called.Accepted, j.Told)
+	}
+	delete(w.State.Cut, "n1")
+	pollFor(w, 30*time.Second)
+	check(t, w)
+	served(t, w)
+}
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -19,6 +19,8 @@
 type metrics struct {
 	times *latency.Recorder
 	shed  atomic.Int64
+	// Questions dropped since their users had gone, and pauses of the process.
+	outlived, pauses, longestPauseMs atomic.Int64
 }
 
 func newMetrics() *metrics { return &metrics{times: latency.NewRecorder()} }
@@ -74,6 +76,7 @@
 		now, inFlight := limit.Now()
 		writeJSON(w, http.StatusOK, map[string]any{
 			"latency": d.metrics.times.Summaries(), "requests_limit": now, "requests_in_progress": inFlight, "requests_shed": d.metrics.shed.Load(),
+			"questions_outlived": d.metrics.outlived.Load(), "pauses": d.metrics.pauses.Load(), "longest_pause_ms": d.metrics.longestPauseMs.Load(),
 		})
 	})
 	return mux
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,12 +32,21 @@
 	command coordination.Command
 	raw     transport.Raw
 	reply   chan coordination.Reply
+	until   time.Time // when whoever asked has been told to come back; zero: nobody asked
+}
+
+// outlived tells whether an item is a question whose user has gone: to answer it would only
+// keep others waiting. What changes something is carried out all the same.
+func (it item) outlived(now time.Time) bool {
+	call, ok := it.command.(coordination.UserCall)
+	return ok && call.Kind == coordination.Poll && !it.until.IsZero() && now.After(it.until)
 }
 
 type waiter struct {
 	reply   chan coordination.Reply
 	raw     transport.Raw
 	request coordination.Request
+	until   time.Time
 }
 
 type daemon struct {
@@ -132,7 +141,7 @@
 	// The body belongs to the server's buffers, which the next request reuses.
 	raw.Body = append([]byte(nil), raw.Body...)
 	select {
-	case d.queue <- item{request, raw, ch}:
+	case d.queue <- item{request, raw, ch, began.Add(wait)}:
 	case <-timer.C:
 		return transport.Busy("too busy")
 	}
@@ -161,23 +170,9 @@
 	defer tick.Stop()
 	commands := make([]coordination.Command, 0, batch)
 	for {
-		commands = commands[:0]
-		select {
-		case <-d.ctx.Done():
+		var open bool
+		if commands, open = d.next(commands[:0], tick.C); !open {
 			return
-		case it := <-d.queue:
-			commands = append(commands, d.accept(it))
-		drain:
-			for len(commands) < batch {
-				select {
-				case it := <-d.queue:
-					commands = append(commands, d.accept(it))
-				default:
-					break drain
-				}
-			}
-		case <-tick.C:
-			commands = append(commands, coordination.Tick{})
 		}
 		led := d.node.Leads()
 		now := coordination.Now{Mono: time.Since(d.began), WallMs: time.Now().UnixMilli()}
@@ -188,6 +183,8 @@
 			d.dropWaits()
 		}
 		d.noteLeader()
+		d.metrics.pauses.Store(d.node.Stats.Pauses)
+		d.metrics.longestPauseMs.Store(d.node.Stats.LongestPauseMs)
 		d.healthy.Store(d.node.Healthy())
 		if d.tracker != nil {
 			d.tracker.see(d.node.Term())
@@ -195,6 +192,33 @@
 	}
 }
 
+// next waits for a batch of commands, or for the tick; not open: the process is to end.
+func (d *daemon) next(commands []coordination.Command, tick <-chan time.Time) (_ []coordination.Command, open bool) {
+	select {
+	case <-d.ctx.Done():
+		return commands, false
+	case <-tick:
+		return append(commands, coordination.Tick{}), true
+	case it := <-d.queue:
+		now := time.Now()
+		for taken := 1; ; taken++ {
+			if it.outlived(now) {
+				d.metrics.outlived.Add(1)
+			} else {
+				commands = append(commands, d.accept(it))
+			}
+			if taken == batch {
+				return commands, true
+			}
+			select {
+			case it = <-d.queue:
+			default:
+				return commands, true
+			}
+		}
+	}
+}
+
 // noteLeader has requests that are with a former leader put to the one that leads now.
 func (d *daemon) noteLeader() {
 	leader := d.node.Term().Leader
@@ -214,7 +238,7 @@
 		return it.command
 	}
 	d.nextID++
-	d.waits[d.nextID] = waiter{it.reply, it.raw, request}
+	d.waits[d.nextID] = waiter{it.reply, it.raw, request, it.until}
 	return request.WithID(d.nextID)
 }
 
@@ -294,7 +318,7 @@
 	r, ok := d.peers.Forward(ctx, peer, w.raw.Method, w.raw.Path, w.raw.Body)
 	if !ok && errors.Is(context.Cause(ctx), transport.ErrLeaderChanged) {
 		select {
-		case d.queue <- item{w.request, w.raw, w.reply}:
+		case d.queue <- item{command: w.request, raw: w.raw, reply: w.reply, until: w.until}:
 		case <-d.ctx.Done():
 		}
 		return
