A machine where a job fails that runs elsewhere is blamed at once; one where several fail rests

Change: a job with tasks done, or running on other machines for a report, says so at once; where several jobs have failed nothing is put for ten leases, or until it is the jobs' fault.

--- a/internal/coordination/failures.go
+++ b/internal/coordination/failures.go
@@ -19,6 +19,9 @@
 // it to be set aside.
 const jobsAgainstMachine = 2
 
+// suspectLeases is for how many leases a machine rests on which several jobs have failed.
+const suspectLeases = 10
+
 // failureSeries is what is known of a job's failures.
 type failureSeries struct {
 	rounds    int             // tries in a row that have failed, each of one task or many
@@ -58,19 +61,45 @@
 	j.failures.jobsFault = true
 	e.n.log(Info, "job fails on every machine", "job", j.ID, "class", j.Class, "team", j.Team, "machines", len(j.failures.on))
 	for name := range j.failures.on {
-		if h := e.hosts[name]; h != nil {
-			delete(h.failedJobs, j.ID)
+		h := e.hosts[name]
+		if h == nil {
+			continue
+		}
+		delete(h.failedJobs, j.ID)
+		if len(h.failedJobs) < jobsAgainstMachine {
+			h.pauseUntil = min(h.pauseUntil, e.n.now.Mono+e.rules.lease)
 		}
 	}
 }
 
-// suspectMachine notes that a job has failed on a machine: for a while nothing else is put
-// there, the longer the more jobs have failed there.
+// suspectMachine notes that a job has failed on a machine. Nothing is put there for a
+// while, or, if several jobs have, until it is known whose fault it is. A job that is known
+// to run well elsewhere says so at once.
 func (e *engine) suspectMachine(h *host, j *job) {
+	now := e.n.now.Mono
 	if _, ok := h.failedJobs[j.ID]; !ok {
 		h.failedJobs[j.ID] = false
 	}
-	h.pauseUntil = max(h.pauseUntil, e.n.now.Mono+e.rules.lease*time.Duration(len(h.failedJobs)))
+	h.pauseUntil = max(h.pauseUntil, now+e.rules.lease)
+	if len(h.failedJobs) >= jobsAgainstMachine {
+		h.pauseUntil = max(h.pauseUntil, now+suspectLeases*e.rules.lease)
+	}
+	if e.runsElsewhere(j, h) {
+		e.blameMachine(h, j)
+	}
+}
+
+// runsElsewhere tells whether tasks of a job are known to do well on other machines.
+func (e *engine) runsElsewhere(j *job, than *host) bool {
+	if j.done > 0 {
+		return true
+	}
+	for _, t := range j.tasks {
+		if t.host != than && t.ranSince >= 0 && e.n.now.Mono-t.ranSince > e.rules.report {
+			return true
+		}
+	}
+	return false
 }
 
 // runsWell ends a job's series of failures: a task of it has completed on a machine, or has
