--- a/internal/coordination/model_test.go
+++ b/internal/coordination/model_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"oakpick/internal/config"
 	"oakpick/internal/coordination"
 	"oakpick/internal/fake"
 	"oakpick/internal/protocol"
@@ -39,6 +40,11 @@
 		if rapid.Bool().Draw(t, "limits to come") {
 			settings.State.Next = nextLimits(1, rapid.IntRange(1, 3).Draw(t, "changes to come"), 25)
 		}
+		teams := []string{"red", "blue"}
+		if rapid.Bool().Draw(t, "guests") {
+			settings.Teams = append(settings.Teams, config.Team{Name: "guests"})
+			teams = append(teams, "guests")
+		}
 		w := fake.NewWorld(settings)
 		w.Production = asProduction
 		rolls := rapid.Bool().Draw(t, "rolls")
@@ -102,7 +108,7 @@
 			jobs++
 			s := job(jobs, protocol.Shape(rapid.IntRange(0, 2).Draw(t, "shape")), rapid.IntRange(1, 4).Draw(t, "tasks"))
 			s.Priority = protocol.Priority(rapid.IntRange(0, 3).Draw(t, "priority"))
-			s.Team = rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team")
+			s.Team = rapid.SampledFrom(teams).Draw(t, "team")
 			s.Spot = rapid.Bool().Draw(t, "spot")
 			s.CPUs = float64(rapid.IntRange(1, 3).Draw(t, "cpus"))
 			switch rapid.IntRange(0, 5).Draw(t, "zones") {
@@ -140,7 +146,7 @@
 		for range rapid.IntRange(4, 14).Draw(t, "actions") {
 			switch rapid.SampledFrom([]string{
 				"submit", "submit", "cancel", "crash", "crash all", "state down", "state cut", "isolate", "cut host", "deaf",
-				"hang", "pause", "notice", "die", "cloud", "noise", "sick", "again", "zone",
+				"hang", "pause", "stall", "notice", "die", "cloud", "noise", "sick", "again", "zone",
 				"mute", "keep reports", "looks", "cancel at end", "odd", "slow state", "roll", "roll", "lower limits",
 			}).Draw(t, "action") {
 			case "submit":
@@ -216,6 +222,16 @@
 				}
 			case "pause":
 				node().PausedUntil = w.Now + time.Duration(rapid.IntRange(100, 6000).Draw(t, "for"))*time.Millisecond
+			case "stall": // before it carries one of its next effects out
+				n := node()
+				left := rapid.IntRange(0, 30).Draw(t, "effects")
+				d := time.Duration(rapid.IntRange(100, 30_000).Draw(t, "for")) * time.Millisecond
+				n.Stall = func(coordination.Effect) time.Duration {
+					if left--; left != 0 {
+						return 0
+					}
+					return d
+				}
 			case "notice":
 				_, h := pick()
 				w.Notice(h, time.Duration(rapid.IntRange(1, 15).Draw(t, "in"))*time.Second)
@@ -295,6 +311,9 @@
 				upgrade(w, n, time.Second)
 			}
 		}
+		for _, n := range w.Nodes {
+			n.Stall = nil
+		}
 		w.Run(65 * time.Second) // the longest trouble is over
 		over := w.Now
 		for i := range jobs {
