--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -243,18 +243,39 @@
 	}
 }
 
+// submission is a user's request for a replica.
+func submission(i int) string {
+	return string(protocol.Encode(map[string]any{
+		"id": fmt.Sprintf("wk-%06d", i), "jobclass": "c", "owner": "alpha", "shape": "service", "rank": "standard", "pieces": 1,
+		"vcpus": 1.0, "gpus": 0.0, "mem_gb": 1.0, "bundle": "img", "image_gb": 1.0, "kinds_of_host": nil, "site": nil,
+		"together": false, "spread": false, "loaners": false, "expected_s": 0.0, "savepoint_s": 0.0, "saving_s": 0.0, "due_s": nil,
+	}))
+}
+
+// Operators ask about a job at the leader and at a follower.
+func TestOperatorsAskAboutAJob(t *testing.T) {
+	p := newPair(t)
+	within(t, func() (string, bool) {
+		status, body := ask(t, "POST", p.fronts[1]+"/v2/runs", submission(1))
+		return fmt.Sprintf("submitted: %d %q", status, body), status == 201 || status == 200
+	})
+	for _, cluster := range p.clusters {
+		var s coordination.JobStatus
+		status, body := ask(t, "GET", cluster+"/admin/jobs/wk-000001", "")
+		if err := json.Unmarshal([]byte(body), &s); err != nil || status != 200 || s.Class != "c" || s.Waiting != 1 || s.Failures != nil {
+			t.Errorf("%s: %d %s", cluster, status, body)
+		}
+		if status, body := ask(t, "GET", cluster+"/admin/jobs/wk-000002", ""); status != 404 {
+			t.Errorf("a job that nobody knows: %d %s", status, body)
+		}
+	}
+}
+
 // Users look at a job at both nodes at once and again and again: right after it was
 // accepted, while it is called off, and after the leader has ended. Whoever asks
 // after an answer was heard gets none that is older.
 func TestCloseLooksOnLoopback(t *testing.T) {
 	p := newPair(t)
-	submission := func(i int) string {
-		return string(protocol.Encode(map[string]any{
-			"id": fmt.Sprintf("wk-%06d", i), "jobclass": "c", "owner": "alpha", "shape": "service", "rank": "standard", "pieces": 1,
-			"vcpus": 1.0, "gpus": 0.0, "mem_gb": 1.0, "bundle": "img", "image_gb": 1.0, "kinds_of_host": nil, "site": nil,
-			"together": false, "spread": false, "loaners": false, "expected_s": 0.0, "savepoint_s": 0.0, "saving_s": 0.0, "due_s": nil,
-		}))
-	}
 	const path = "/v2/runs"
 	status := func(body string) string {
 		var a protocol.JobAnswer
