--- a/internal/coordination/admin_jobs.go
+++ b/internal/coordination/admin_jobs.go
@@ -36,12 +36,11 @@
 func (e *engine) jobStatus(c AdminCall) {
 	j := e.jobs[c.Job]
 	if j == nil {
-		status := 404
-		body := map[string]string{"error": "no unfinished job of that name"}
-		if f := e.finals[c.Job]; f != nil {
-			body["error"] = "it is over"
+		why := "no unfinished job of that name"
+		if e.finals[c.Job] != nil {
+			why = "it is over"
 		}
-		e.reply(c.ID, status, asJSON(body))
+		e.reply(c.ID, 404, asJSON(map[string]string{"error": why}))
 		return
 	}
 	s := JobStatus{
