Guests' rentals and the rest of their blocks are written last, too

Found by a story made larger (an array of 25,000 tasks at three writes a second): after a take-over a submission waited 4.25 s behind the records of rentals for guests, which were written as soon as users' answers, and behind the removal of their blocks. It is taken at once now. The stories of jobs with a mistake have an array of 3,000 and a gang of 64.

--- a/internal/coordination/failures_test.go
+++ b/internal/coordination/failures_test.go
@@ -27,11 +27,13 @@
 
 // mistakes hands in an array, a gang, a service and single jobs that fail everywhere.
 func mistakes(w *fake.World) []*fake.Job {
-	array := job(1, protocol.Array, 300)
-	array.CPUs, array.Team = 0.1, "red"
+	array := job(1, protocol.Array, 3000)
+	array.CPUs, array.MemoryGB, array.Team = 0.01, 0.01, "red"
+	gang := job(2, protocol.Gang, 64)
+	gang.CPUs, gang.MemoryGB = 0.05, 0.1
 	alone := job(10, protocol.Array, 3) // on machines that nothing else needs
 	alone.GPUs = 2
-	jobs := []*fake.Job{broken(w, array), broken(w, job(2, protocol.Gang, 4)), broken(w, service(3, 2)), broken(w, alone)}
+	jobs := []*fake.Job{broken(w, array), broken(w, gang), broken(w, service(3, 2)), broken(w, alone)}
 	for i := range 6 {
 		jobs = append(jobs, broken(w, job(4+i, protocol.Array, 1)))
 	}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -107,7 +107,7 @@
 		}
 		if r.Answered && !slices.ContainsFunc(r.Hosts, e.knownOnlyByRental) {
 			f.rentals = slices.DeleteFunc(f.rentals, func(x *rental) bool { return x == r })
-			e.store.Remove(now, r, nil)
+			e.store.Remove(now, r, r.onCommitLater())
 		}
 	}
 	if !f.listing && now >= f.listAt {
@@ -257,14 +257,14 @@
 		if len(c.Hosts) < r.Count {
 			e.noCapacity(r)
 		}
-		e.store.Touch(now, r, nil)
+		e.store.Touch(now, r, r.onCommitLater())
 	case NotFound, Invalid: // no capacity, or malformed
 		if c.Outcome == Invalid {
 			e.n.log(Error, "the cloud calls a rental malformed", "type", r.Type, "zone", r.Zone, "count", r.Count)
 		}
 		e.noCapacity(r)
 		f.rentals = slices.DeleteFunc(f.rentals, func(x *rental) bool { return x == r })
-		e.store.Remove(now, r, nil)
+		e.store.Remove(now, r, r.onCommitLater())
 	default:
 		// It may have been done: only its own name asks again without renting twice.
 		r.retryAt = now + e.rules.report/3
@@ -338,6 +338,15 @@
 	calling bool
 	retryAt time.Duration
 	ready   bool // durable, so that it may be sent
+	guests  bool // for guests' tasks only
+}
+
+// onCommitLater makes a wait for a change of the rental that nobody waits for.
+func (r *rental) onCommitLater() *storage.CommitWait {
+	if r.guests {
+		return storage.OnCommitLast(func() {})
+	}
+	return storage.OnCommitLater(func() {})
 }
 
 // Emit writes it.
@@ -355,7 +364,7 @@
 // rent records a request for machines; it is made once that is durable. No more
 // are open than the cloud answers in a second or two. It tells how many machines
 // the request is for; 0: none was made.
-func (e *engine) rent(o offer, count int) int {
+func (e *engine) rent(w wanted, count int) int {
 	f, now := &e.fleet, e.n.now.Mono
 	open := 0
 	for _, r := range f.rentals {
@@ -367,16 +376,21 @@
 		return 0
 	}
 	f.counter++
-	r := &rental{RentalRecord: storage.RentalRecord{
-		Request: fmt.Sprintf("oakpick-%d-%d", e.firstT, f.counter), Type: o.kind, Zone: o.zone, Spot: o.spot, Count: count, AtMs: e.n.now.WallMs,
+	r := &rental{guests: w.guests, RentalRecord: storage.RentalRecord{
+		Request: fmt.Sprintf("oakpick-%d-%d", e.firstT, f.counter), Type: w.kind, Zone: w.zone, Spot: w.spot, Count: count, AtMs: e.n.now.WallMs,
 	}}
 	for r.Count > 1 && !e.store.Fits(r) { // its answer has to be kept on a page
 		r.Count /= 2
 	}
 	f.rentals = append(f.rentals, r)
-	e.store.Touch(now, r, storage.OnCommit(func() {
+	ready := func() {
 		r.ready = true
 		e.fleet.planAt = 0
-	}))
+	}
+	if r.guests {
+		e.store.Touch(now, r, storage.OnCommitLast(ready))
+	} else {
+		e.store.Touch(now, r, storage.OnCommit(ready))
+	}
 	return r.Count
 }
--- a/internal/coordination/guests_test.go
+++ b/internal/coordination/guests_test.go
@@ -132,7 +132,7 @@
 	s.State.WriteRPS = 3
 	w := worldOf(t, s)
 	w.Cloud.MostOf = map[string]int{"small": 16}
-	array := guestJob(1, protocol.Array, 2500)
+	array := guestJob(1, protocol.Array, 25_000)
 	array.CPUs, array.MemoryGB, array.Estimate = 0.05, 0.1, 3
 	w.Submit(array, 3*time.Second)
 	w.Run(20 * time.Second)
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -233,7 +233,7 @@
 		// Its completion is recorded in the first block; it was about to go. The
 		// first block itself stays, since it carries the job's record.
 		if b.number != 0 {
-			e.store.Remove(e.n.now.Mono, b, nil)
+			e.store.Remove(e.n.now.Mono, b, j.onCommitLater(func() {}))
 			delete(j.blocks, b.number)
 		}
 		return nil
--- a/internal/coordination/packing.go
+++ b/internal/coordination/packing.go
@@ -17,7 +17,8 @@
 	ready   time.Duration // until it is up
 	overdue bool          // it should have been up by now
 	used    bool
-	index   int // in the plan, which decides between equals
+	guests  bool // only guests' tasks are in it
+	index   int  // in the plan, which decides between equals
 }
 
 // packing is a plan being made: what waits, and the room to be kept, are packed into
@@ -82,6 +83,7 @@
 		}
 		b.room = b.room.minus(j.need.times(float64(count)))
 		b.used = true
+		b.guests = b.guests && j.guest()
 		use[b.offer.zone] += count
 		tasks -= count
 		c.insert(b)
@@ -188,7 +190,7 @@
 		return nil
 	}
 	mt := p.e.fleet.kind(o.kind)
-	b := &bin{offer: o, ready: config.Seconds(mt.BootS), room: size(mt)}
+	b := &bin{offer: o, ready: config.Seconds(mt.BootS), room: size(mt), guests: j.guest()}
 	p.append(b)
 	return b
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -84,25 +84,32 @@
 // asked for is in the next plan already, so several requests for one offer are no more
 // machines, only sooner. Each offer has its turn.
 func (e *engine) rentAll(bins []*bin) (ordinary bool) {
-	counts := map[offer]int{}
-	var offers []offer
+	counts := map[wanted]int{}
+	var offers []wanted
 	for _, b := range bins {
-		if counts[b.offer] == 0 {
-			offers = append(offers, b.offer)
+		w := wanted{b.offer, b.guests}
+		if counts[w] == 0 {
+			offers = append(offers, w)
 		}
-		counts[b.offer]++
+		counts[w]++
 	}
 	for more := true; more; {
 		more = false
-		for _, o := range offers {
-			if counts[o] > 0 {
-				asked := e.rent(o, min(counts[o], protocol.MaxRented))
-				counts[o] -= asked
+		for _, w := range offers {
+			if counts[w] > 0 {
+				asked := e.rent(w, min(counts[w], protocol.MaxRented))
+				counts[w] -= asked
 				more = more || asked > 0
 			}
 		}
 	}
-	return slices.ContainsFunc(offers, func(o offer) bool { return !o.spot })
+	return slices.ContainsFunc(offers, func(w wanted) bool { return !w.spot })
+}
+
+// wanted is an offer that machines are to be rented of.
+type wanted struct {
+	offer
+	guests bool // for guests' tasks only
 }
 
 func (e *engine) classNames() []string {
