Clean-up after reading the change: one piece of code where logic stood twice

Which writes go last for guests was chosen in five places, and is in unlessGuests; who else leads was worked out in five, and is otherLeader; the daemon and its stand-in ask KnownLeader; that nothing is stopped for guests stands in makeRoom itself. Two comments of stories are put right. No behaviour changes, no test's assertions do.

--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -98,8 +98,8 @@
 		n.emit(Reply{ID: c.ID, Status: 200, Body: asJSON(n.status())})
 	case n.engine != nil && n.certain():
 		n.engine.admin(c)
-	case n.engine == nil && n.term.leader != "" && n.term.leader != n.cfg.Node:
-		n.emit(Forward{ID: c.ID, Peer: n.term.leader})
+	case n.engine == nil && n.otherLeader() != "":
+		n.emit(Forward{ID: c.ID, Peer: n.otherLeader()})
 	default:
 		n.emit(Reply{ID: c.ID, Status: 503, Body: asJSON(map[string]string{"error": "no leader"}), RetryAfter: 1})
 	}
--- a/internal/coordination/deferred.go
+++ b/internal/coordination/deferred.go
@@ -47,5 +47,5 @@
 	if n.engine != nil {
 		return n.certain() && (c.Kind != Submit || len(n.engine.fleet.types) > 0)
 	}
-	return n.term.leader != "" && n.term.leader != n.cfg.Node
+	return n.otherLeader() != ""
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -343,10 +343,7 @@
 
 // onCommitLater makes a wait for a change of the rental that nobody waits for.
 func (r *rental) onCommitLater() *storage.CommitWait {
-	if r.guests {
-		return storage.OnCommitLast(func() {})
-	}
-	return storage.OnCommitLater(func() {})
+	return waitMaker(storage.OnCommitLater).unlessGuests(r.guests)(func() {})
 }
 
 // Emit writes it.
@@ -383,14 +380,9 @@
 		r.Count /= 2
 	}
 	f.rentals = append(f.rentals, r)
-	ready := func() {
+	e.store.Touch(now, r, waitMaker(storage.OnCommit).unlessGuests(r.guests)(func() {
 		r.ready = true
 		e.fleet.planAt = 0
-	}
-	if r.guests {
-		e.store.Touch(now, r, storage.OnCommitLast(ready))
-	} else {
-		e.store.Touch(now, r, storage.OnCommit(ready))
-	}
+	}))
 	return r.Count
 }
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -25,9 +25,7 @@
 	}
 	if hosts == nil {
 		e.fleet.unplaced = append(e.fleet.unplaced, wait{j, idle})
-		if !j.guest() {
-			e.makeRoom(j, idle, j.zoneUse())
-		}
+		e.makeRoom(j, idle, j.zoneUse())
 		return
 	}
 	e.startGang(j, hosts)
--- a/internal/coordination/guests.go
+++ b/internal/coordination/guests.go
@@ -152,27 +152,31 @@
 	}
 }
 
-// onCommitStart makes a wait that a task's start depends on. Guests' are written once
-// others' changes have been.
-func (j *job) onCommitStart(then func()) *storage.CommitWait {
-	if j.guest() {
-		return storage.OnCommitLast(then)
+// waitMaker makes a wait that goes before or after others.
+type waitMaker func(then func()) *storage.CommitWait
+
+// unlessGuests gives how a change is waited for: guests' are written once others' have been.
+func (ordinary waitMaker) unlessGuests(guests bool) waitMaker {
+	if guests {
+		return storage.OnCommitLast
 	}
-	return storage.OnCommitStart(then)
+	return ordinary
+}
+
+// onCommitStart makes a wait that a task's start depends on.
+func (j *job) onCommitStart(then func()) *storage.CommitWait {
+	return waitMaker(storage.OnCommitStart).unlessGuests(j.guest())(then)
 }
 
 // onCommitLater makes a wait that nobody outside depends on.
 func (j *job) onCommitLater(then func()) *storage.CommitWait {
-	if j.guest() {
-		return storage.OnCommitLast(then)
-	}
-	return storage.OnCommitLater(then)
+	return waitMaker(storage.OnCommitLater).unlessGuests(j.guest())(then)
 }
 
 // touchLater has a block of the job written with a change that nobody outside waits for.
 func (e *engine) touchLater(b *block) {
 	if b.job.guest() {
-		e.store.Touch(e.n.now.Mono, b, storage.OnCommitLast(func() {}))
+		e.store.Touch(e.n.now.Mono, b, b.job.onCommitLater(func() {}))
 		return
 	}
 	e.store.Touch(e.n.now.Mono, b, nil)
--- a/internal/coordination/guests_test.go
+++ b/internal/coordination/guests_test.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// An array of guests as large as the fleet keeps the write budget busy, and the leader ends
+// An array of guests far larger than the fleet keeps the write budget busy, and the leader ends
 // in the middle of it. What a guaranteed team submits is taken at once, by whoever leads.
 func TestGuestsWritesKeepNobodyWaiting(t *testing.T) {
 	s := fake.Settings()
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -130,8 +130,8 @@
 	switch {
 	case n.engine != nil && n.certain():
 		n.engine.user(c)
-	case n.engine == nil && n.term.leader != "" && n.term.leader != n.cfg.Node:
-		n.emit(Forward{ID: c.ID, Peer: n.term.leader})
+	case n.engine == nil && n.otherLeader() != "":
+		n.emit(Forward{ID: c.ID, Peer: n.otherLeader()})
 	case n.engine == nil && n.mayDefer(c):
 		n.deferCall(c)
 	default:
@@ -144,11 +144,23 @@
 		n.engine.reportCall(c)
 		return
 	}
-	leader := n.term.leader
-	if leader == n.cfg.Node {
-		leader = ""
+	n.emit(Reply{ID: c.ID, Status: 421, Body: protocol.EncodeReportTo(n.otherLeader())})
+}
+
+// otherLeader is the peer that is known to lead; empty: none is.
+func (n *Node) otherLeader() string {
+	if n.term.leader == n.cfg.Node {
+		return ""
+	}
+	return n.term.leader
+}
+
+// KnownLeader is who leads as far as is known, this node or another; empty: nobody.
+func (n *Node) KnownLeader() string {
+	if n.Leads() {
+		return n.cfg.Node
 	}
-	n.emit(Reply{ID: c.ID, Status: 421, Body: protocol.EncodeReportTo(leader)})
+	return n.otherLeader()
 }
 
 // Healthy tells whether the node can take requests: it leads with a certain
@@ -188,11 +200,7 @@
 // Term tells who leads.
 func (n *Node) Term() TermView {
 	if n.engine == nil {
-		v := TermView{}
-		if n.term.leader != n.cfg.Node {
-			v.Leader = n.term.leader
-		}
-		return v
+		return TermView{Leader: n.otherLeader()}
 	}
 	return TermView{Reign: n.term.led, Token: n.term.own, Until: n.term.until}
 }
--- a/internal/coordination/pauses_test.go
+++ b/internal/coordination/pauses_test.go
@@ -87,9 +87,8 @@
 }
 
 // The leader stands still before it carries out an effect: an answer to a user, a command to
-// a worker, a call to the cloud, a renewal or a write. It goes on within its lease, within its hold, or after
-// another has led for long. Jobs come, end and are called
-// off all the while.
+// a worker, a call to the cloud, a renewal or a write. It goes on within its lease, within its
+// hold, or after another has led for long. Jobs come, end and are called off all the while.
 func TestLeaderStandsStillBeforeAnEffect(t *testing.T) {
 	kinds := map[string]func(coordination.Effect) bool{
 		"answer": func(e coordination.Effect) bool { _, ok := e.(coordination.Reply); return ok },
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -108,7 +108,7 @@
 		if left+later > 0 {
 			e.fleet.unplaced = append(e.fleet.unplaced, wait{j, e.withinLimit(j, idle+later)})
 		}
-		if left > 0 && !j.guest() { // guests get what is idle
+		if left > 0 {
 			e.makeRoom(j, left, use)
 		}
 		if left < idle {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -24,6 +24,9 @@
 // about to come free is set aside for it first. Nothing is stopped for a gang
 // that could not start even then.
 func (e *engine) makeRoom(j *job, count int, use map[string]int) {
+	if j.guest() {
+		return // guests get what is idle
+	}
 	taken := map[*task]bool{}
 	extra := map[*host]need{} // what the taken ones leave
 	var victims []*task
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -221,10 +221,7 @@
 
 // noteLeader has requests that are with a former leader put to the one that leads now.
 func (d *daemon) noteLeader() {
-	leader := d.node.Term().Leader
-	if d.node.Leads() {
-		leader = d.cfg.Node
-	}
+	leader := d.node.KnownLeader()
 	if leader != "" && leader != d.leader {
 		d.leader = leader
 		d.forwards.LeaderIs(leader)
--- a/internal/fake/node.go
+++ b/internal/fake/node.go
@@ -159,10 +159,7 @@
 	if !n.Up {
 		return
 	}
-	leader := n.node.Term().Leader
-	if n.node.Leads() {
-		leader = n.Name
-	}
+	leader := n.node.KnownLeader()
 	if leader == "" || leader == n.leader {
 		return
 	}
