Write budget: its fill and the oldest wait in /admin/status, a line when it stalls; tests (failing)

Nothing told why a leader wrote no more after a change of write_share. write_budget_fill and write_budget_waits_s are new in the leader's status; 'write budget stalled' is logged once when a write was refused for want of budget for more than twice the time in which it fills (capacity / rate).

--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -32,6 +32,8 @@
 	FailingJobs         []string            `json:"jobs_failing_everywhere"`
 	Backlog             int                 `json:"pages_to_write"`
 	BacklogS            float64             `json:"oldest_page_waits_s"`
+	BudgetFill          float64             `json:"write_budget_fill"` // 0 to 1
+	BudgetWaitS         float64             `json:"write_budget_waits_s"`
 	Pages               int                 `json:"pages"`
 	OversizedPages      int                 `json:"pages_above_limits_to_come"`
 	SteppedDownPeers    []string            `json:"peers_let_go"`
@@ -80,12 +82,13 @@
 func (l *leader) status() *LeaderStatus {
 	now, elector := l.controller.context.Monotonic(), l.controller.elector
 	pages, oldest := l.store.Backlog(now)
+	budget := l.store.WriteBudget(now)
 	s := &LeaderStatus{
 		SinceS: (now - elector.LeadingSince()).Seconds(), LeaseForS: max(0, elector.LeaseUntil()-now).Seconds(),
 		Jobs: len(l.state.JobOrder), EndedJobs: len(l.state.EndedJobs), Archive: l.archive.Status(),
 		Classes: map[string]Queue{}, Teams: map[string]TeamUse{}, Machines: map[string]Machines{},
 		UnconfirmedMachines: []string{}, CordonedMachines: []string{}, FailingJobs: l.failingJobs(),
-		Backlog: pages, BacklogS: oldest.Seconds(), Pages: l.store.PageCount(), OversizedPages: l.store.OversizedPages(),
+		Backlog: pages, BacklogS: oldest.Seconds(), BudgetFill: budget.Fill, BudgetWaitS: budget.WaitingFor.Seconds(), Pages: l.store.PageCount(), OversizedPages: l.store.OversizedPages(),
 		SteppedDownPeers: elector.SteppedDownPeers(),
 	}
 	for name, t := range l.state.Teams {
--- a/internal/controller/writer.go
+++ b/internal/controller/writer.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"oakpick/internal/message"
 	"oakpick/internal/protocol"
 	"oakpick/internal/rpc"
 	"oakpick/internal/storage"
@@ -10,6 +11,8 @@
 type writer struct {
 	controller *Controller
 	store      *storage.Store
+	// stallLogged is whether the present stall of the write budget is logged.
+	stallLogged bool
 }
 
 // flush sends what may be written now. While the fencing token is being advanced nothing is:
@@ -19,12 +22,26 @@
 	for !c.elector.AdvancingToken() && c.elector.HoldsLease() {
 		write := w.store.NextWrite(c.context.Monotonic(), c.elector.TermCondition(), !c.elector.AwaitsWrites())
 		if write == nil {
+			w.logStall()
 			return
 		}
 		w.send(write)
 	}
 }
 
+// logStall logs that a write waits for the budget for longer than its rate explains, once until
+// writes go on.
+func (w *writer) logStall() {
+	now := w.controller.context.Monotonic()
+	stalled := w.store.WriteBudgetStalled(now)
+	if stalled && !w.stallLogged {
+		budget := w.store.WriteBudget(now)
+		w.controller.context.Log(message.Error, "write budget stalled", "waited_s", budget.WaitingFor.Seconds(),
+			"fill", budget.Fill, "keys_per_s", budget.KeysPerS)
+	}
+	w.stallLogged = stalled
+}
+
 // send sends a transaction.
 func (w *writer) send(write *storage.Write) {
 	w.controller.context.Stats.Writes++
--- a/internal/fake/job.go
+++ b/internal/fake/job.go
@@ -53,3 +53,18 @@
 	w.submit(j)
 	return j
 }
+
+// AddEndedBefore notes a job that ended before the world began, so that others may name it.
+// Nobody asks about it.
+func (w *World) AddEndedBefore(id string, cancelled bool) {
+	if w.Jobs[id] != nil {
+		return
+	}
+	status := protocol.StatusDone
+	if cancelled {
+		status = protocol.StatusCancelled
+	}
+	w.Jobs[id] = &Job{
+		Submission: protocol.Submission{ID: id}, Accepted: true, Status: status, CancelRequested: cancelled, Cancelled: cancelled,
+	}
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -39,6 +39,11 @@
 	RejectedForSize int
 	// RejectWrites has every write of a page refused for the rate (429).
 	RejectWrites bool
+	// RejectFromKeys has every transaction refused for the rate (429) that changes at least so many
+	// keys; 0: none.
+	RejectFromKeys int
+	// RejectedForKeys counts these.
+	RejectedForKeys int
 
 	world         *World
 	limits        config.State
--- a/internal/fake/state_txn.go
+++ b/internal/fake/state_txn.go
@@ -67,6 +67,10 @@
 	if s.RejectWrites && len(txn.Then) > 0 && txn.Then[0].Put != election.LeaderKey {
 		return rpc.Refused
 	}
+	if s.RejectFromKeys > 0 && len(txn.Then) >= s.RejectFromKeys {
+		s.RejectedForKeys++
+		return rpc.Refused
+	}
 	if !s.withinWriteRate(len(txn.Then)) {
 		return rpc.Refused
 	}
--- a/internal/scale/ended_jobs.go
+++ b/internal/scale/ended_jobs.go
@@ -10,6 +10,10 @@
 // The ids of the jobs that ended before a run begin with these.
 const archivedPrefix, endedPrefix = "wk-8", "wk-9"
 
+// archivedCancelledEvery is which of the jobs in the archive were cancelled: the first, and every
+// so many from there on.
+const archivedCancelledEvery = 10
+
 // endedJobTasks is how many tasks such a job had.
 const endedJobTasks = 3
 
@@ -31,13 +35,20 @@
 	return storage.TerminalRecord{ID: fmt.Sprintf("%s%010d", prefix, number), Tasks: endedJobTasks}
 }
 
+// archivedRecord is the record of a job in the archive.
+func archivedRecord(number int) storage.TerminalRecord {
+	record := endedRecord(archivedPrefix, number)
+	record.Cancelled = number%archivedCancelledEvery == 0
+	return record
+}
+
 // archivedPages returns the pages, by key, of an archive of so many ended jobs.
 func archivedPages(count int, valueKB float64) map[string][]byte {
 	pages := map[string][]byte{}
-	forEachEndedPage(archivedPrefix, count, valueKB, func(next int, records []storage.TerminalRecord) {
+	forEachEndedPage(archivedRecord, count, valueKB, func(next int, records []storage.TerminalRecord) {
 		bound := storage.LastUpperBound
 		if next < count {
-			bound = endedRecord(archivedPrefix, next).ID
+			bound = archivedRecord(next).ID
 		}
 		pages[storage.ArchivePrefix+bound] = protocol.Encode(storage.ArchiveValue{WriteID: writeIDBeforeRun, Terminal: records})
 	})
@@ -47,7 +58,8 @@
 // endedPages returns the pages, by key, of a state service that has so many ended jobs on record.
 func endedPages(count int, valueKB float64) map[string][]byte {
 	pages := map[string][]byte{}
-	forEachEndedPage(endedPrefix, count, valueKB, func(_ int, records []storage.TerminalRecord) {
+	endedRecord := func(number int) storage.TerminalRecord { return endedRecord(endedPrefix, number) }
+	forEachEndedPage(endedRecord, count, valueKB, func(_ int, records []storage.TerminalRecord) {
 		key := fmt.Sprintf("%s%06d", storage.PagePrefix, len(pages))
 		pages[key] = protocol.Encode(storage.PageValue{WriteID: writeIDBeforeRun, Terminal: records})
 	})
@@ -56,13 +68,13 @@
 
 // forEachEndedPage divides so many ended jobs into pages; next is the number of the job after a
 // page's last.
-func forEachEndedPage(prefix string, count int, valueKB float64, page func(next int, records []storage.TerminalRecord)) {
+func forEachEndedPage(record func(number int) storage.TerminalRecord, count int, valueKB float64, page func(next int, records []storage.TerminalRecord)) {
 	perPage := endedJobsPerPage(valueKB)
 	for first := 0; first < count; first += perPage {
 		next := min(first+perPage, count)
 		var records []storage.TerminalRecord
 		for number := first; number < next; number++ {
-			records = append(records, endedRecord(prefix, number))
+			records = append(records, record(number))
 		}
 		page(next, records)
 	}
--- a/internal/scale/faults.go
+++ b/internal/scale/faults.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"oakpick/internal/config"
 	"oakpick/internal/scale/testbed"
 )
@@ -20,13 +22,18 @@
 
 // How long and how far faults go.
 const (
-	restartDelay       = 5 * time.Second // of killed controllers
-	outageDuration     = 20 * time.Second
-	partitionDivisor   = 10 // one worker of so many
-	partitionLeases    = 1.5
-	rackMachines       = 40
-	restartsPerDay     = 210
-	restartsInjectedIn = time.Minute
+	restartDelay        = 5 * time.Second // of killed controllers
+	outageDuration      = 20 * time.Second
+	partitionDivisor    = 10 // one worker of so many
+	partitionLeases     = 1.5
+	rackMachines        = 40
+	restartsPerDay      = 210
+	restartsInjectedIn  = time.Minute
+	rejectFromKeys      = 4 // more than the lowest write_share lets through at once, in small runs
+	rejectionWithin     = 20 * time.Second
+	shareChangeInterval = 75 * time.Millisecond
+	shareDuration       = 20 * time.Second
+	shareDurableWithin  = 20 * time.Second // after which a change of settings counts as failed
 )
 
 // faults by their names on the command line.
@@ -36,6 +43,7 @@
 	"state":           {inject: beginOutage, duration: outageDuration, heal: endOutage},
 	"cut":             {inject: partitionWorkers, leases: partitionLeases, heal: healPartition},
 	"rack":            {inject: failRack},
+	"write-share":     {inject: changeWriteShare, duration: shareDuration, heal: confirmWriteShare},
 	"restarts":        {inject: restartMachines, duration: restartsInjectedIn},
 }
 
@@ -88,6 +96,78 @@
 	return nil
 }
 
+// The lowest and the highest share of the state service's writes that operators may set.
+const lowestWriteShare, highestWriteShare = `{"write_share": 0.05}`, `{"write_share": 0.95}`
+
+// errNoLargeWrite says that no transaction could be refused.
+var errNoLargeWrite = errors.New("the leader sent no transaction of several keys")
+
+// changeWriteShare has an operator lower write_share and raise it again while the state service
+// refuses large transactions, so that one of the leader waits for its retry. Both changes are in
+// force at once. Until the fault ends, the operator does nothing more.
+func changeWriteShare(ctx context.Context, e *experiment) error {
+	leader := e.testbed.Controllers.Leader(ctx)
+	if leader == testbed.NoLeader {
+		return errNoLeader
+	}
+	e.rejectLargeWrites(rejectFromKeys)
+	defer e.rejectLargeWrites(0)
+	if err := e.waitForRejection(ctx); err != nil {
+		return err
+	}
+	var changes errgroup.Group
+	for _, patch := range []string{lowestWriteShare, highestWriteShare} {
+		changes.Go(func() error {
+			_ = e.testbed.Controllers.ChangeSettings(ctx, leader, patch) // durable too late to be answered
+			return nil
+		})
+		if err := e.sleep(ctx, "write_share", shareChangeInterval); err != nil {
+			return err
+		}
+	}
+	e.rejectLargeWrites(0)
+	return changes.Wait()
+}
+
+// rejectLargeWrites has the state service refuse transactions of at least so many keys; 0: none.
+func (e *experiment) rejectLargeWrites(keys int) {
+	e.testbed.DoAndWait(func() { e.testbed.World.State.RejectFromKeys = keys })
+}
+
+// waitForRejection waits until the state service has refused another large transaction.
+func (e *experiment) waitForRejection(ctx context.Context) error {
+	rejected := func() (count int) {
+		e.testbed.DoAndWait(func() { count = e.testbed.World.State.RejectedForKeys })
+		return count
+	}
+	before := rejected()
+	for end := time.Now().Add(rejectionWithin); time.Now().Before(end); {
+		if rejected() > before {
+			return nil
+		}
+		if err := e.sleep(ctx, "no large write yet", shareChangeInterval); err != nil {
+			return err
+		}
+	}
+	return errNoLargeWrite
+}
+
+// confirmWriteShare has write_share changed once more, and waits until that is durable.
+func confirmWriteShare(e *experiment) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shareDurableWithin)
+	defer cancel()
+	for {
+		err := errNoLeader
+		if leader := e.testbed.Controllers.Leader(ctx); leader != testbed.NoLeader {
+			err = e.testbed.Controllers.ChangeSettings(ctx, leader, highestWriteShare)
+		}
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(shareChangeInterval)
+	}
+}
+
 // failRack ends many machines at once, but no more than half of them.
 func failRack(_ context.Context, e *experiment) error {
 	e.testbed.DoAndWait(func() {
--- a/internal/scale/parameters.go
+++ b/internal/scale/parameters.go
@@ -30,6 +30,7 @@
 	Teams        int     `name:"teams" default:"57" validate:"gte=1,lte=1000" help:"Teams, each with a limit."`
 	LargestGang  int     `json:"Gang" name:"gang" default:"128" validate:"gte=0,lte=1000" help:"Tasks of the largest gangs; 0: no gangs."`
 	Urgent       float64 `name:"urgent" default:"1" validate:"gte=0,lte=100" help:"Urgent jobs a second, of one to four tasks."`
+	Pipelines    float64 `name:"pipelines" default:"0" validate:"gte=0,lte=100" help:"Jobs a second that need others: archived, ended, cancelled and unfinished ones, in any mixture."`
 	Cancelled    float64 `name:"cancelled" default:"0.03" validate:"gte=0,lte=1" help:"Share of the jobs that their users cancel."`
 	Ended        int     `name:"ended" default:"0" validate:"gte=0,lte=20000000" help:"Ended jobs on record at the beginning."`
 	Archived     int     `name:"archived" default:"0" validate:"gte=0,lte=20000000" help:"Ended jobs in the archive at the beginning."`
@@ -43,7 +44,7 @@
 	Settle    time.Duration `name:"settle" default:"45s" validate:"gte=0,lte=1h" help:"Time for each step to settle before it is measured."`
 	Measure   time.Duration `name:"measure" default:"40s" validate:"gte=1000000000,lte=1h" help:"Time for which each step is measured, in windows."`
 	Windows   int           `name:"windows" default:"4" validate:"gte=1,lte=100" help:"Windows of that time."`
-	Faults    []string      `name:"faults" default:"" validate:"dive,oneof=leader all-controllers state cut rack restarts" help:"Faults after the last step: leader, all-controllers, state, cut, rack, restarts."`
+	Faults    []string      `name:"faults" default:"" validate:"dive,oneof=leader all-controllers state cut rack restarts write-share" help:"Faults after the last step: leader, all-controllers, state, cut, rack, restarts, write-share."`
 	Recover   time.Duration `name:"recover" default:"40s" validate:"gte=1000000000,lte=1h" help:"Time for which a fault is watched after its end."`
 	BreakRule bool          `json:"Provoke" name:"provoke" help:"Start one task twice on purpose, to show that the check finds it."`
 	Seed      uint64        `name:"seed" default:"1" help:"What is drawn."`
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// Real controllers, jobs that need archived, ended, cancelled and unfinished ones, and an operator
+// who lowers write_share and raises it again while the state service refuses a large transaction:
+// the rules are kept, no controller ends by itself, and tasks start again long before the fault is
+// over. Before the mend of docs/incidents/2026-12-03-write-budget-never-fills.md none started for
+// as long as nobody changed a setting again.
+func TestRunKeepsRulesWhenWriteShareChanges(t *testing.T) {
+	p, command := smallParameters(t)
+	p.Steps, p.Pipelines, p.Jobs, p.Starts, p.Running = []float64{1}, 3, 1, 40, 300
+	p.Faults = []string{"write-share"}
+	report := runSmall(t.Context(), t, p, command)
+	if !report.Sound() {
+		t.Errorf("rules broken %v, ended %v, partial %q", report.Violations, report.Crashed, report.Partial)
+	}
+	if len(report.Faults) != 1 || report.Faults[0].WithoutStartsS > shareDuration.Seconds()/2 {
+		t.Errorf("no task started for long: %+v", report.Faults)
+	}
+}
+
 // Real controllers start tasks on simulated workers, keep the rules while the leader is killed,
 // and are gone afterwards. Times have no part in the verdict.
 func TestRunKeepsRulesWhenLeaderIsKilled(t *testing.T) {
--- a/internal/scale/testbed/controllers_admin.go
+++ b/internal/scale/testbed/controllers_admin.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 )
 
 // NoLeader is what Leader returns if no controller leads.
@@ -40,6 +42,37 @@
 	return handled
 }
 
+// SettingsError is an answer to a change of settings other than 200.
+type SettingsError struct {
+	Status int
+	Body   string
+}
+
+func (e *SettingsError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+// ChangeSettings has a controller change what operators may change; a follower asks the leader.
+// It returns once the change is durable, an error otherwise.
+func (c *Controllers) ChangeSettings(ctx context.Context, controller int, patch string) error {
+	url := "http://" + c.addresses.Peer(controller) + "/admin/settings"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPatch, url, strings.NewReader(patch))
+	if err != nil {
+		return err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }() // all of it has been read
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return &SettingsError{response.StatusCode, strings.TrimSpace(string(body))}
+	}
+	return nil
+}
+
 // Healthy tells whether a controller passes the load balancer's health check.
 func (c *Controllers) Healthy(ctx context.Context, controller int) bool {
 	_, ok := c.get(ctx, "http://"+c.addresses.API(controller)+"/healthz")
--- a/internal/scale/workload.go
+++ b/internal/scale/workload.go
@@ -20,7 +20,8 @@
 	meter      *testbed.Meter
 	gaps       *serviceGaps
 
-	submitted     int // jobs so far
+	submitted     int         // jobs so far
+	recent        []*fake.Job // that a pipeline may name, the latest last
 	jobs          map[string]*fake.Job
 	urgentStarted map[taskID]bool // tasks of urgent jobs whose start has been executed
 }
@@ -101,6 +102,9 @@
 	if p.LargestGang > 1 {
 		w.repeat(func() time.Duration { return gangInterval }, w.submitGang)
 	}
+	if p.Pipelines > 0 {
+		w.repeat(func() time.Duration { return w.interarrivalTime(p.Pipelines) }, w.submitPipeline)
+	}
 	w.repeat(func() time.Duration { return otherPollInterval }, w.pollUnknownAndEnded)
 }
 
@@ -119,8 +123,11 @@
 // pollUnknownAndEnded asks about a job that nobody submitted, and about one that ended long ago.
 func (w *workload) pollUnknownAndEnded() {
 	w.world.PollUnknown()
-	if w.parameters.Archived > 0 {
-		w.world.PollEnded(endedRecord(archivedPrefix, w.random.IntN(w.parameters.Archived)).ID)
+	if w.parameters.Archived == 0 {
+		return
+	}
+	if record := archivedRecord(w.random.IntN(w.parameters.Archived)); !record.Cancelled {
+		w.world.PollEnded(record.ID)
 	}
 }
 
@@ -138,6 +145,7 @@
 	submission.EstimatedRunS = runTime.Seconds()
 	job := w.world.Submit(submission, runTime)
 	w.jobs[submission.ID] = job
+	w.noteRecent(job)
 	w.poll(job)
 	if submission.Class != serviceClass && w.random.Float64() < w.parameters.Cancelled {
 		w.world.After(w.changeDelay(), func() { w.world.CancelJob(job) })
--- a/internal/storage/inflight_writes.go
+++ b/internal/storage/inflight_writes.go
@@ -54,7 +54,7 @@
 // used up, it returns nil and true, and nothing else may be sent either: newer
 // transactions must not take the budget that this one waits for, or a steady flow of
 // small ones would keep a large one, and its pages, waiting for ever.
-func (f *inFlightWrites) nextRetry(now time.Duration, budget writeBudget) (w *Write, due bool) {
+func (f *inFlightWrites) nextRetry(now time.Duration, budget *writeBudget) (w *Write, due bool) {
 	for _, w := range f.writes {
 		if w.sent || now < w.retryAt {
 			continue
--- a/internal/storage/write.go
+++ b/internal/storage/write.go
@@ -57,7 +57,7 @@
 // on every page's version, or nil. The caller asks again until it is nil. If
 // allowNew is false, only transactions in flight are returned, for their retry.
 func (s *Store) NextWrite(now time.Duration, term protocol.Condition, allowNew bool) *Write {
-	if w, due := s.inFlight.nextRetry(now, s.budget); due {
+	if w, due := s.inFlight.nextRetry(now, &s.budget); due {
 		return w
 	}
 	if !allowNew || !s.inFlight.mayBegin(now) {
@@ -76,8 +76,11 @@
 // takes its budget.
 func (s *Store) collectDirtyPages(now time.Duration) *Write {
 	available := s.budget.available(now)
-	if available < 1 {
-		return nil // before anything is sorted or measured for it
+	if available < 1 { // before anything is sorted or measured for it
+		if slices.ContainsFunc(s.dirty, func(p *page) bool { return !p.inFlight }) {
+			s.budget.noteWaiting(now)
+		}
+		return nil
 	}
 	slices.SortStableFunc(s.dirty, func(a, b *page) int { return cmp.Compare(a.dueAt, b.dueAt) })
 	w := &Write{sent: true}
