Write budget: a changed rate takes effect at the step's time

Cause: rate.Limiter's SetLimit and SetBurst take the time from the process's clock, all else is given the step's time, which begins with the process. The change filled the budget at once; afterwards its last fill lay decades ahead, and nothing flowed in until a write got through. A transaction that waits for its retry and is larger than what was left keeps all others out.

The change is now put in force with the time for which the budget is asked next, at the end of the same step.

--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -45,7 +45,8 @@
 	}
 }
 
-// SetWriteRate changes how many keys a second may be written.
+// SetWriteRate changes how many keys a second may be written, from the next call on that is given
+// the time: a leader asks NextWrite in every step, so that is the time of the step.
 func (s *Store) SetWriteRate(keysPerS float64) { s.budget.setRate(keysPerS) }
 
 // SetLimitsLowered notes that the state service refuses values above the announced limits
--- a/internal/storage/write.go
+++ b/internal/storage/write.go
@@ -57,6 +57,7 @@
 // on every page's version, or nil. The caller asks again until it is nil. If
 // allowNew is false, only transactions in flight are returned, for their retry.
 func (s *Store) NextWrite(now time.Duration, term protocol.Condition, allowNew bool) *Write {
+	s.budget.applyRate(now)
 	if w, due := s.inFlight.nextRetry(now, &s.budget); due {
 		return w
 	}
--- a/internal/storage/write_budget.go
+++ b/internal/storage/write_budget.go
@@ -14,15 +14,33 @@
 	// none waits for the budget.
 	waitingSince *time.Duration
 	refusedAt    time.Duration // the last such refusal
+	// nextRate is a rate that was set and isn't in force yet; 0: there is none.
+	nextRate float64
+	// rateSetAt is since when the rate is in force.
+	rateSetAt time.Duration
 }
 
 func newWriteBudget(keysPerS float64) writeBudget {
 	return writeBudget{limiter: rate.NewLimiter(rate.Limit(keysPerS), budgetCapacity(keysPerS))}
 }
 
-func (b *writeBudget) setRate(keysPerS float64) {
-	b.limiter.SetLimit(rate.Limit(keysPerS))
-	b.limiter.SetBurst(budgetCapacity(keysPerS))
+// setRate changes the rate from the time on for which the budget is asked next.
+//
+// The limiter's own SetLimit and SetBurst take the time from the clock of the process. Everything
+// else here is given the time of the step, which begins with the process: the last fill would
+// then lie decades ahead, the budget would be filled at once by the change, and afterwards not at
+// all until a write gets through.
+func (b *writeBudget) setRate(keysPerS float64) { b.nextRate = keysPerS }
+
+// applyRate puts a changed rate in force. What was saved up so far stays, up to the new capacity.
+func (b *writeBudget) applyRate(now time.Duration) {
+	if b.nextRate == 0 {
+		return
+	}
+	at := limiterTime(now)
+	b.limiter.SetLimitAt(at, rate.Limit(b.nextRate))
+	b.limiter.SetBurstAt(at, budgetCapacity(b.nextRate))
+	b.nextRate, b.rateSetAt = 0, now
 }
 
 // budgetCapacity is how many keys may be written at once.
@@ -32,6 +50,7 @@
 
 // available returns how many keys may be written now.
 func (b *writeBudget) available(now time.Duration) float64 {
+	b.applyRate(now)
 	return b.limiter.TokensAt(limiterTime(now))
 }
 
@@ -44,6 +63,7 @@
 // than the capacity, because that was lowered since it was built, takes all of it: it
 // could never be sent otherwise.
 func (b *writeBudget) take(now time.Duration, keys int) bool {
+	b.applyRate(now)
 	if !b.limiter.AllowN(limiterTime(now), min(keys, b.capacity())) {
 		b.noteWaiting(now)
 		return false
@@ -74,7 +94,10 @@
 // stalled reports whether a write was refused just now, and has waited for longer than the rate
 // explains. Without a refusal at this very time the write may wait for something else.
 func (b *writeBudget) stalled(now time.Duration) bool {
-	return b.waitingSince != nil && b.refusedAt == now && b.waitingFor(now) > stallFactor*b.fillTime()
+	if b.waitingSince == nil || b.refusedAt != now {
+		return false
+	}
+	return now-max(*b.waitingSince, b.rateSetAt) > stallFactor*b.fillTime()
 }
 
 // fillTime is how long an empty budget takes to fill, after which it lets any write through.
