--- a/internal/controller/effect_trace_test.go
+++ b/internal/controller/effect_trace_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"oakpick/internal/config"
@@ -74,6 +75,31 @@
 	return digests
 }
 
+// wallClockSeeds is how many worlds are played at two times of day.
+const wallClockSeeds = 12
+
+// The same world played hours apart by the process's clock gives the same effects: nothing that is
+// decided reads it. In the bubble of synctest that clock is another one, and stands still but for
+// the sleep.
+//
+// It does not notice the fault of docs/incidents/2026-12-03-write-budget-never-fills.md: a clock that
+// is decades ahead fills the budget, whatever the hour. The linter does (forbidigo).
+func TestEffectsDoNotDependOnTheProcessClock(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(wallClockSeeds) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			digest := playTrace(t, seed)
+			synctest.Test(t, func(t *testing.T) {
+				time.Sleep(time.Duration(seed+1) * time.Hour)
+				if playTrace(t, seed) != digest {
+					t.Errorf("%v gave another trace", time.Now())
+				}
+			})
+		})
+	}
+}
+
 func writeDigests(t *testing.T, file string, digests map[string]string) {
 	t.Helper()
 	text, err := json.MarshalIndent(digests, "", " ")
