Tests: a change of settings names every problem (failing)

Fails on the code as it is: null and an empty object are accepted, what follows the object is ignored, and of several problems only the first is named.

--- a/internal/controller/admin_test.go
+++ b/internal/controller/admin_test.go
@@ -46,3 +46,33 @@
 		}
 	}
 }
+
+// A change is refused whole, with every problem named, and nothing is changed by it.
+func TestAdminSettingsNameEveryProblem(t *testing.T) {
+	w := newWorld(t)
+	w.Run(2 * time.Second)
+	_, before := adminRequest(w, 0, message.AdminRead, "")
+	for body, wantNamed := range map[string][]string{
+		`{"write_share": null}`:              {"write_share"},
+		`{}`:                                 {"no setting is named"},
+		``:                                   {"not a JSON object"},
+		`null`:                               {"no setting is named"},
+		`{"write_share": 0.5} {"sample": 1}`: {"not a JSON object"},
+		`{"write_share": 0.01}`:              {"write_share: out of range"},
+		`{"write_share": 1e999}`:             {"write_share"},
+		`{"write_share": "half"}`:            {"write_share: a string where"},
+		`{"write_share": true, "sample": 1.5, "idle_s": -1, "no_such_figure": 2, "warm_room": 1}`: {"write_share", "sample", "idle_s", "no_such_figure"},
+	} {
+		t.Run(body, func(t *testing.T) {
+			status, answer := adminRequest(w, 0, message.AdminChange, body)
+			for _, name := range wantNamed {
+				if status != 400 || !strings.Contains(answer, name) {
+					t.Errorf("%q is not named: %d %s", name, status, answer)
+				}
+			}
+		})
+	}
+	if _, after := adminRequest(w, 0, message.AdminRead, ""); after != before {
+		t.Errorf("changed from %s to %s", before, after)
+	}
+}
