Administration API: a change of settings is refused whole, with every problem named

null, an empty object and what follows the object were accepted or ignored; of several problems only the first was named.

--- a/internal/controller/options.go
+++ b/internal/controller/options.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/go-playground/validator/v10"
@@ -39,38 +42,61 @@
 
 var optionsValidator = sync.OnceValue(func() *validator.Validate { return config.NewValidator("json") })
 
-// With changes the figures that a JSON object names, and checks them.
+// With changes the figures that a JSON object names, and checks them. Nothing is changed if any
+// of them is at fault.
 func (o Options) With(patch []byte) (Options, error) {
-	decoder := json.NewDecoder(bytes.NewReader(patch))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&o); err != nil {
-		var typeError *json.UnmarshalTypeError
-		if errors.As(err, &typeError) {
-			return o, fmt.Errorf("%s: a %s where a %s belongs", typeError.Field, typeError.Value, typeError.Type)
-		}
+	var figures map[string]json.RawMessage
+	if err := json.Unmarshal(patch, &figures); err != nil {
 		return o, fmt.Errorf("not a JSON object of settings: %w", err)
 	}
-	var fields validator.ValidationErrors
-	if err := optionsValidator().Struct(o); errors.As(err, &fields) {
-		return o, &OptionsError{fields}
+	if len(figures) == 0 {
+		return o, &OptionsError{[]string{"no setting is named"}}
 	}
-	return o, nil
+	changed := o
+	var problems []string
+	for _, name := range slices.Sorted(maps.Keys(figures)) {
+		if err := changed.set(name, figures[name]); err != nil {
+			problems = append(problems, err.Error())
+		}
+	}
+	problems = append(problems, changed.outOfRange()...)
+	if len(problems) > 0 {
+		return o, &OptionsError{problems}
+	}
+	return changed, nil
 }
 
-// OptionsError names the figures that are out of their ranges.
-type OptionsError struct{ fields validator.ValidationErrors }
+// set changes one figure.
+func (o *Options) set(name string, value json.RawMessage) error {
+	if string(value) == "null" {
+		return fmt.Errorf("%s: a null where a number belongs", name)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(encodeJSON(map[string]json.RawMessage{name: value})))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(o)
+	var typeError *json.UnmarshalTypeError
+	if errors.As(err, &typeError) {
+		return fmt.Errorf("%s: a %s where a %s belongs", name, typeError.Value, typeError.Type)
+	}
+	return err
+}
 
-func (e *OptionsError) Error() string {
-	text := ""
-	for i, f := range e.fields {
-		if i > 0 {
-			text += "; "
+// outOfRange names the figures that are out of their ranges.
+func (o *Options) outOfRange() (problems []string) {
+	var fields validator.ValidationErrors
+	if err := optionsValidator().Struct(o); errors.As(err, &fields) {
+		for _, f := range fields {
+			problems = append(problems, fmt.Sprintf("%s: out of range (%s %s)", f.Field(), f.Tag(), f.Param()))
 		}
-		text += fmt.Sprintf("%s: out of range (%s %s)", f.Field(), f.Tag(), f.Param())
 	}
-	return text
+	return problems
 }
 
+// OptionsError names everything that is wrong with a change.
+type OptionsError struct{ Problems []string }
+
+func (e *OptionsError) Error() string { return strings.Join(e.Problems, "; ") }
+
 func (o Options) scheduling() scheduling.Options {
 	return scheduling.Options{SampleSize: o.SampleSize, MaxPreemptionCostS: o.MaxPreemptionCostS}
 }
