--- a/internal/controller/mixed_prerequisites_test.go
+++ b/internal/controller/mixed_prerequisites_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oakpick/internal/fake"
+	"oakpick/internal/message"
 	"oakpick/internal/protocol"
 )
 
@@ -34,7 +35,7 @@
 // over, or lacks one that waits.
 func checkDependenciesAlways(t *testing.T, w *fake.World) {
 	t.Helper()
-	w.OnStep = func(c *fake.Controller) {
+	w.OnStep = func(c *fake.Controller, _ []message.Effect) {
 		if err := c.Controller().CheckDependencies(); err != nil {
 			t.Fatalf("%v: %s: %v", w.Now, c.Name, err)
 		}
--- a/internal/controller/model_prerequisites_test.go
+++ b/internal/controller/model_prerequisites_test.go
@@ -11,6 +11,7 @@
 
 	"oakpick/internal/controller"
 	"oakpick/internal/fake"
+	"oakpick/internal/message"
 	"oakpick/internal/protocol"
 )
 
@@ -174,9 +175,9 @@
 			}
 		}
 	}
-	checkGraph, world := d.world.OnStep, c.worlds
-	d.world.OnStep = func(controller *fake.Controller) {
-		checkGraph(controller)
+	checkStep, world := d.world.OnStep, c.worlds
+	d.world.OnStep = func(controller *fake.Controller, effects []message.Effect) {
+		checkStep(controller, effects)
 		for i := range d.jobs {
 			j := d.numbered(i + 1)
 			if j != nil && controller.Controller().HasPrerequisiteParts(j.Submission.ID) {
--- a/internal/controller/model_test.go
+++ b/internal/controller/model_test.go
@@ -69,14 +69,17 @@
 }
 
 // startDrawnWorld draws whether a world begins with the version in production, and has every
-// leader's dependency graph checked after each of its steps.
+// leader's dependency graph and effects checked after each of its steps.
 func startDrawnWorld(t *rapid.T, settings config.Settings, teams []string, maxJobs int) *drawnWorld {
 	w := fake.NewWorld(settings)
 	w.RewriteAsProduction = roundTripProduction
-	w.OnStep = func(c *fake.Controller) {
+	w.OnStep = func(c *fake.Controller, effects []message.Effect) {
 		if err := c.Controller().CheckDependencies(); err != nil {
 			t.Fatalf("%v: %s: %v", w.Now, c.Name, err)
 		}
+		if err := checkLeadersEffects(c, effects); err != nil {
+			t.Fatalf("%v: %s: %v", w.Now, c.Name, err)
+		}
 	}
 	production := rapid.Bool().Draw(t, "begins with production")
 	for _, c := range w.Controllers {
--- a/internal/fake/controller.go
+++ b/internal/fake/controller.go
@@ -108,6 +108,9 @@
 	c.receive(pendingRequest{request: request, reply: reply})
 }
 
+// PendingRequest is a request that waits for its reply; nil: there is none with this ID.
+func (c *Controller) PendingRequest(id uint64) message.Request { return c.pending[id].request }
+
 // receive has a request decided, once the process has processor time.
 func (c *Controller) receive(pending pendingRequest) {
 	if c.remote != nil {
@@ -149,7 +152,7 @@
 	}
 	effects := c.impl.Step(now, []message.Event{event})
 	if c.world.OnStep != nil {
-		c.world.OnStep(c)
+		c.world.OnStep(c, effects)
 	}
 	if c.world.OnEffect != nil {
 		for _, effect := range effects {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -51,7 +51,7 @@
 	// OnEffect is called with every effect of a controller, before it is performed.
 	OnEffect func(controller string, effect message.Effect)
 	// OnStep is called after every step of a controller, before its effects are performed.
-	OnStep func(c *Controller)
+	OnStep func(c *Controller, effects []message.Effect)
 	// OnStart is called with every start that a worker executes, OnTaskPresent of every task
 	// that has its image.
 	OnStart, OnTaskPresent func(j *Job, task int)
--- a/internal/scale/parameters.go
+++ b/internal/scale/parameters.go
@@ -30,7 +30,7 @@
 	Teams        int     `name:"teams" default:"57" validate:"gte=1,lte=1000" help:"Teams, each with a limit."`
 	LargestGang  int     `json:"Gang" name:"gang" default:"128" validate:"gte=0,lte=1000" help:"Tasks of the largest gangs; 0: no gangs."`
 	Urgent       float64 `name:"urgent" default:"1" validate:"gte=0,lte=100" help:"Urgent jobs a second, of one to four tasks."`
-	Pipelines    float64 `name:"pipelines" default:"0" validate:"gte=0,lte=100" help:"Jobs a second that need others: archived, ended, cancelled and unfinished ones, in any mixture."`
+	Pipelines    float64 `json:",omitempty" name:"pipelines" default:"0" validate:"gte=0,lte=100" help:"Jobs a second that need others: archived, ended, cancelled and unfinished ones, in any mixture."`
 	Cancelled    float64 `name:"cancelled" default:"0.03" validate:"gte=0,lte=1" help:"Share of the jobs that their users cancel."`
 	Ended        int     `name:"ended" default:"0" validate:"gte=0,lte=20000000" help:"Ended jobs on record at the beginning."`
 	Archived     int     `name:"archived" default:"0" validate:"gte=0,lte=20000000" help:"Ended jobs in the archive at the beginning."`
