Leader: a step ends for a leader that has resigned in it; no change of the fleet without a lease

Cause: leader.tick asked once whether the lease is held, and CheckMachines may resign before the scheduler and the autoscaler are called; LeaseUntil is 0 then.

--- a/internal/autoscaling/cloud.go
+++ b/internal/autoscaling/cloud.go
@@ -30,11 +30,15 @@
 // send sends a request to the cloud, if it may take one now.
 func (a *Autoscaler) send(call message.CloudCall, inFlight cloudCall) bool {
 	c := &a.cloud
+	changesFleet := call.Op == message.CloudScaleOut || call.Op == message.CloudScaleIn
+	if changesFleet && a.context.Monotonic() >= a.leadership.LeaseUntil() {
+		return false // it could only be sent without a bound in time
+	}
 	if a.context.Monotonic() < c.backoffUntil || len(c.inFlight) >= config.CloudConnections || !c.budget.AllowN(a.context.Now.LimiterTime(), 1) {
 		return false
 	}
 	call.ID = a.context.NextID()
-	if call.Op == message.CloudScaleOut || call.Op == message.CloudScaleIn {
+	if changesFleet {
 		// The process may be paused between here and the sending. A machine that looks idle
 		// now may have another leader's tasks by then.
 		call.NotAfter = a.leadership.LeaseUntil()
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -76,16 +76,18 @@
 }
 
 // tick does what time and the step's events call for. Nothing is decided while another node
-// may lead.
+// may lead, and nothing more once the term has ended in this very step.
 func (l *leader) tick() {
 	elector := l.controller.elector
 	if elector.HoldsLease() {
 		l.workers.CheckMachines()
-		l.scheduler.RunIfDue()
-		l.autoscaler.Tick()
 	}
 	if l.controller.leader != l {
-		return // it has stepped down
+		return // it has resigned
+	}
+	if elector.HoldsLease() {
+		l.scheduler.RunIfDue()
+		l.autoscaler.Tick()
 	}
 	if !elector.HoldsLease() || l.requests.writesStalled() {
 		l.requests.refuseAwaitingCommit()
