Archive: an emptied page is deleted only with another token than that of the write that made it

Cause: a move deletes the page that it empties; a late copy of the write that made the page is conditional on its absence and on the same token, and brings the job's first record back.

Such a page stays, empty, and is used again or deleted once the token has advanced.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -100,6 +100,18 @@
 		}
 	}
 	a.move()
+	a.deleteEmptyPages()
+}
+
+// deleteEmptyPages has the pages of records deleted that moves have emptied, now and then and with
+// what the write budget leaves.
+func (a *Archive) deleteEmptyPages() {
+	now := a.context.Monotonic()
+	if !a.exists || now < a.moves.deleteEmptyAt || !a.store.Idle(now) {
+		return
+	}
+	a.moves.deleteEmptyAt = now + a.timing.Workers.HeartbeatInterval
+	a.store.DeleteEmptyPages(now, a.leadership.Token())
 }
 
 // Status is what an operator is told of the archive of ended jobs.
--- a/internal/archive/move.go
+++ b/internal/archive/move.go
@@ -23,13 +23,14 @@
 // moves is the moving of ended jobs to the archive: one transaction at a time, with what the
 // write budget leaves, and not before every peer has said that it looks jobs up there.
 type moves struct {
-	moving     map[string]bool // ids of ended jobs whose move is under way
-	committed  int
-	retryAt    time.Duration // no move before; reads for users don't wait for that
-	sourcePage int           // the page of records to be examined next
-	peers      []string
-	readers    map[string]bool // peers that have said that they read the archive
-	askAt      time.Duration   // when the others are asked next
+	moving        map[string]bool // ids of ended jobs whose move is under way
+	committed     int
+	retryAt       time.Duration // no move before; reads for users don't wait for that
+	sourcePage    int           // the page of records to be examined next
+	deleteEmptyAt time.Duration // when emptied pages are looked for next
+	peers         []string
+	readers       map[string]bool // peers that have said that they read the archive
+	askAt         time.Duration   // when the others are asked next
 }
 
 // IsMoving reports whether the move of an ended job is under way.
--- a/internal/storage/archive_move.go
+++ b/internal/storage/archive_move.go
@@ -29,7 +29,7 @@
 
 // Move builds the transaction that removes items, all of one page of records, and writes
 // the pages of the archive that have them instead: no reader ever finds them in neither
-// place. A page of records that is empty then is deleted. Move returns nil, and changes
+// place. A page of records that is empty then is deleted, if that is safe; otherwise see DeleteEmptyPages. Move returns nil, and changes
 // nothing, if the transaction can't be sent now or would be too large.
 func (s *Store) Move(now time.Duration, term protocol.Condition, items []Item, pages []*ArchivePage, waiter *CommitWaiter) *Write {
 	p := s.pageOf[items[0]]
@@ -65,3 +65,14 @@
 		w.Txn.Then = append(w.Txn.Then, protocol.Change{Put: p.Key(), Value: &ArchiveValue{WriteID: w.ID, Terminal: p.Terminal}})
 	}
 }
+
+// DeleteEmptyPages has pages deleted that are empty and may be deleted with a fencing token: those
+// that moves had to leave, and those of earlier terms.
+func (s *Store) DeleteEmptyPages(now time.Duration, token int64) {
+	for _, p := range s.pages {
+		if !p.dirty && !p.inFlight && p.deletable(token) {
+			p.deleteIfEmpty = true
+			s.markPageDirty(now, p, nil)
+		}
+	}
+}
--- a/internal/storage/page.go
+++ b/internal/storage/page.go
@@ -51,6 +51,17 @@
 
 	inFlight       bool // part of a transaction in flight
 	deleteOnCommit bool // by that transaction
+	deleteIfEmpty  bool // when it is written next
+	// createdWithToken is the fencing token of this term's last write on condition that the page
+	// is absent; 0: there was none.
+	createdWithToken int64
+}
+
+// deletable reports whether a page is empty, and may be deleted with a token. A write of the same
+// token that made it may have a late copy: that is conditional on the page's absence, and would
+// bring back what was on it.
+func (p *page) deletable(token int64) bool {
+	return p.version != 0 && len(p.items) == 0 && p.createdWithToken != token
 }
 
 func (p *page) key() string { return fmt.Sprintf("%s%06d", PagePrefix, p.number) }
--- a/internal/storage/write.go
+++ b/internal/storage/write.go
@@ -42,10 +42,14 @@
 func (w *Write) keyCount() int { return len(w.pages) + len(w.archivePages) }
 
 // addPage adds the condition and the change for a page of records.
-func (w *Write) addPage(p *page) {
+func (w *Write) addPage(p *page, token int64) {
 	condition := p.condition()
 	w.Txn.If = append(w.Txn.If, condition)
-	p.deleteOnCommit = len(w.archivePages) > 0 && len(p.items) == 0
+	if p.version == 0 {
+		p.createdWithToken = token
+	}
+	p.deleteOnCommit = (len(w.archivePages) > 0 || p.deleteIfEmpty) && p.deletable(token)
+	p.deleteIfEmpty = false
 	if p.deleteOnCommit {
 		w.Txn.Then = append(w.Txn.Then, protocol.Change{Delete: condition.Key})
 	} else {
@@ -130,7 +134,7 @@
 		s.setInFlight(w.compareOnly, true)
 	}
 	for _, p := range w.pages {
-		w.addPage(p)
+		w.addPage(p, term.Version)
 		w.waiters = append(w.waiters, p.waiters)
 		p.dirty, p.waiters = false, nil
 		s.setInFlight(p, true)
