--- a/internal/storage/write_test.go
+++ b/internal/storage/write_test.go
@@ -139,6 +139,12 @@
 
 // The rate of writes is changed while a large write waits for its retry: the budget goes on
 // filling by the steady clock, and the write is sent again.
+//
+// What happened: the change took the time from the process's clock, by which the budget's last fill
+// lay decades ahead of the steps' time. Nothing flowed in any more, and what the lowered capacity
+// had left, 4 of 10 keys, was too little for the write of 8. The same on real processes was logged
+// as "write budget stalled waited_s=2.000 fill=0.053 keys_per_s=38". See
+// docs/incidents/2026-12-03-write-budget-never-fills.md.
 func TestWriteBudgetFillsAfterItsRateIsChanged(t *testing.T) {
 	s := NewStore(Limits{PageBytes(1), 8, 10}, "t", retryInterval)
 	for i := range 8 {
