Archive: emptied pages are deleted a few at a time

All of them at once would have counted as writes that new records wait behind (writesBehind): found by reading. Measured: tests of storage and of the archive pass.

--- a/internal/storage/archive_move.go
+++ b/internal/storage/archive_move.go
@@ -29,8 +29,8 @@
 
 // Move builds the transaction that removes items, all of one page of records, and writes
 // the pages of the archive that have them instead: no reader ever finds them in neither
-// place. A page of records that is empty then is deleted, if that is safe; otherwise see DeleteEmptyPages. Move returns nil, and changes
-// nothing, if the transaction can't be sent now or would be too large.
+// place. A page of records that is empty then is deleted, if that is safe; otherwise see
+// DeleteEmptyPages. Move returns nil, and changes nothing, if the transaction can't be sent now or would be too large.
 func (s *Store) Move(now time.Duration, term protocol.Condition, items []Item, pages []*ArchivePage, waiter *CommitWaiter) *Write {
 	p := s.pageOf[items[0]]
 	if p == nil || p.inFlight || !s.CanWrite(now, 1+len(pages)) {
@@ -67,12 +67,18 @@
 }
 
 // DeleteEmptyPages has pages deleted that are empty and may be deleted with a fencing token: those
-// that moves had to leave, and those of earlier terms.
+// that moves had to leave, and those of earlier terms. It takes no more of them at a time than half
+// of the write budget lets through at once, so that new records needn't wait behind them.
 func (s *Store) DeleteEmptyPages(now time.Duration, token int64) {
+	left := max(1, s.budget.capacity()/2)
 	for _, p := range s.pages {
+		if left == 0 {
+			return
+		}
 		if !p.dirty && !p.inFlight && p.deletable(token) {
 			p.deleteIfEmpty = true
 			s.markPageDirty(now, p, nil)
+			left--
 		}
 	}
 }
