--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of all cases, after the build of the deploy file.
+set -e
+cd "$(dirname "$0")/.."
+go build -o target/review/cases ./review/testdata/cases
