--- a/review/testdata/cases/dependents.go
+++ b/review/testdata/cases/dependents.go
@@ -10,7 +10,9 @@
 	"time"
 )
 
-func init() { cases["dependents"] = caseFunc{wellness, wellnessFlavors, playDependents} }
+func init() {
+	cases["dependents"] = caseFunc{wellness, func() []flavor { return wellnessFlavors(2*time.Second, 20) }, playDependents}
+}
 
 const (
 	dependents    = 25_000
@@ -27,9 +29,13 @@
 		go c.revive(4 * time.Second)
 	}
 	const first, other = "wk-000001", "wk-900000" // the other has nothing to do with the rest
-	for _, id := range []string{first, other} {
-		a := b.persist(http.MethodPost, "/v2/runs", newJob(id, "spa-reception"), 20*time.Second)
-		b.record.line("user: submits %s: %d %v %v", id, a.status, a.body, a.err)
+	export, replica := newJob(first, "spa-reception"), newJob(other, "therapist-desk")
+	replica["jobclass"], replica["shape"], replica["rank"] = "treatment-notes", "service", "production"
+	b.upload(export, 10*time.Minute)
+	b.upload(replica, 0)
+	for _, j := range []object{export, replica} {
+		a := b.persist(http.MethodPost, "/v2/runs", j, 20*time.Second)
+		b.record.line("user: submits %s: %d %v %v", text(j["id"]), a.status, a.body, a.err)
 	}
 	var last, accepted atomic.Int64
 	last.Store(1)
@@ -78,6 +84,9 @@
 	for _, c := range b.controllers {
 		b.record.line("controller: %s takes %s", c.name, c.memory())
 	}
+	for _, w := range b.cloud.workers() {
+		b.record.line("worker: %s is in session %d", w.id, w.sessionNumber())
+	}
 	b.breach("forgotten: no question about %s was answered for 75 s", other)
 }
 
--- a/review/testdata/cases/moved.go
+++ b/review/testdata/cases/moved.go
@@ -9,7 +9,9 @@
 	"time"
 )
 
-func init() { cases["moved"] = caseFunc{wellness, wellnessFlavors, playMoved} }
+func init() {
+	cases["moved"] = caseFunc{wellness, func() []flavor { return wellnessFlavors(0, 0) }, playMoved}
+}
 
 const (
 	endedJobs    = 18_000 // at the beginning
--- a/review/testdata/cases/sites.go
+++ b/review/testdata/cases/sites.go
@@ -39,8 +39,9 @@
 	}
 }
 
-// wellnessFlavors are machine types of which the cloud has none left.
-func wellnessFlavors() []flavor {
+// wellnessFlavors is one of its machine types, with the time that a boot takes and the number of machines in
+// each zone.
+func wellnessFlavors(bootTakes time.Duration, capacity int) []flavor {
 	zones := []string{"aalborg-a", "esbjerg-edge", "vejle-own"}
-	return []flavor{{"lys-16", 16, 0, 64, 80, 0.6, 0.58, 0.16, 25 * time.Second, 25 * time.Second, zones, 0}}
+	return []flavor{{"lys-16", 16, 0, 64, 80, 0.6, 0.58, 0.16, 25 * time.Second, bootTakes, zones, capacity}}
 }
--- a/review/testdata/cases/worker.go
+++ b/review/testdata/cases/worker.go
@@ -84,6 +84,12 @@
 	w.killAll(why)
 }
 
+func (w *worker) sessionNumber() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.session
+}
+
 func (w *worker) killAll(why string) {
 	for _, t := range w.tasks {
 		if t.status != "ended" {
