review: case 2 is now one replica after the other stopped by a leader without machine types

The cloud's interface is down for 20 s and the leader crashes. One production task becomes ready while machines have 48 CPUs free: all 60 production replicas of another team are stopped within two seconds, and the task isn't started.

--- a/review/testdata/cases/bench.go
+++ b/review/testdata/cases/bench.go
@@ -68,14 +68,14 @@
 	controllers []*controller
 	users       *http.Client
 
-	mu        sync.Mutex
-	jobs      map[string]*job
-	broken    []string // what broke the rule
-	cantRun   []string
-	runs      []*taskRun
-	doneTasks map[string]bool
-	timers    []*time.Timer
-	closed    bool
+	mu      sync.Mutex
+	jobs    map[string]*job
+	broken  []string // what broke the rule
+	cantRun []string
+	runs    []*taskRun
+	halted  map[string]int // tasks that were stopped by command, by job
+	timers  []*time.Timer
+	closed  bool
 }
 
 // taskRun is the time that an attempt was on a machine.
@@ -108,7 +108,7 @@
 		return nil, err
 	}
 	b := &bench{
-		record: record, settings: s, trouble: trouble, directory: directory, run: run, users: newClient(), jobs: map[string]*job{}, doneTasks: map[string]bool{},
+		record: record, settings: s, trouble: trouble, directory: directory, run: run, users: newClient(), jobs: map[string]*job{}, halted: map[string]int{},
 	}
 	b.state = newStateService(b, s.State)
 	b.cloud = newCloud(b, seconds(s.Cloud.ListLagS), flavors)
@@ -223,10 +223,24 @@
 	}
 }
 
-func (b *bench) completed(t *task) {
+// exited records that a task has exited, and why.
+func (b *bench) exited(w *worker, t *task) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.doneTasks[t.piece] = true
+	if t.cause == "halted" {
+		id, _, _ := strings.Cut(t.piece, "/")
+		b.halted[id]++
+	}
+	if len(b.runs) < 500 {
+		b.record.line("worker: %s: %s/%d exits: %s", w.id, t.piece, t.try, t.cause)
+	}
+}
+
+// stops returns how many tasks of a job were stopped by command.
+func (b *bench) stops(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.halted[id]
 }
 
 // close ends all that was started.
--- a/review/testdata/cases/worker.go
+++ b/review/testdata/cases/worker.go
@@ -84,6 +84,19 @@
 	w.killAll(why)
 }
 
+// freeCPUs returns the processors that no task on the machine takes.
+func (w *worker) freeCPUs() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	free := w.kind.cpus
+	for _, t := range w.tasks {
+		if t.status != "ended" {
+			free -= number(t.job.message["vcpus"])
+		}
+	}
+	return free
+}
+
 func (w *worker) sessionNumber() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -368,9 +381,7 @@
 func (w *worker) exit(t *task, cause string, kept bool) {
 	w.leave(t)
 	t.status, t.cause, t.kept = "ended", cause, kept
-	if cause == "done" {
-		w.bench.completed(t)
-	}
+	w.bench.exited(w, t)
 	w.notify()
 }
 
