--- a/review/build.sh
+++ b/review/build.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/review/cases ./review/testdata/cases
+go build -o target/oakpick-agent ./cmd/oakpick-agent
--- a/review/testdata/cases/bench.go
+++ b/review/testdata/cases/bench.go
@@ -75,6 +75,7 @@
 	runs    []*taskRun
 	halted  map[string]int // tasks that were stopped by command, by job
 	timers  []*time.Timer
+	others  []*exec.Cmd // programs beside the controllers
 	closed  bool
 }
 
@@ -91,6 +92,8 @@
 	name         string
 	api, peer    string
 	state, cloud string // as this controller reaches them
+	extensions   string // file of extensions; empty: none
+	tracker      string // address of its tracker of weights, if that is enabled
 	command      *exec.Cmd
 	exited       chan struct{}
 	killed       bool
@@ -255,6 +258,10 @@
 	for _, t := range b.timers {
 		t.Stop()
 	}
+	for _, command := range b.others {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	}
 	b.mu.Unlock()
 	_ = os.RemoveAll(b.directory)
 }
@@ -302,7 +309,11 @@
 		return
 	}
 	defer log.Close()
-	command := exec.Command(c.bench.run[0], append(append([]string(nil), c.bench.run[1:]...), path)...)
+	arguments := append(append([]string(nil), c.bench.run[1:]...), path)
+	if c.extensions != "" {
+		arguments = append([]string{"--extensions", c.extensions}, arguments...)
+	}
+	command := exec.Command(c.bench.run[0], arguments...)
 	command.Stderr, command.Stdout = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with this process
 	if err := command.Start(); err != nil {
