--- a/review/testdata/cases/main.go
+++ b/review/testdata/cases/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"time"
 )
 
@@ -22,7 +23,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: cases NAME FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: cases NAME RECORD")
 		os.Exit(2)
 	}
 	played, ok := cases[os.Args[1]]
@@ -30,7 +31,7 @@
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(2)
 	}
-	record, err := newRecorder(os.Args[2] + "/record.txt")
+	record, err := newRecorder(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
@@ -55,7 +56,7 @@
 	if os.Getenv("KEEP_LOGS") != "" {
 		for _, c := range b.controllers {
 			content, _ := os.ReadFile(b.directory + "/" + c.name + ".log")
-			_ = os.WriteFile(os.Args[2]+"/"+c.name+".log", content, 0o600)
+			_ = os.WriteFile(filepath.Join(filepath.Dir(os.Args[2]), c.name+".log"), content, 0o600)
 		}
 	}
 	b.close()
--- a/review/testdata/cases/record.go
+++ b/review/testdata/cases/record.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// recorder writes what was sent, answered and run to record.txt, one line each, with the seconds
+// recorder writes what was sent, answered and run to a case's record.txt, one line each, with the seconds
 // since the start.
 type recorder struct {
 	mu    sync.Mutex
