--- a/review/_rig2/case_full_zone.go
+++ b/review/_rig2/case_full_zone.go
@@ -131,12 +131,7 @@
 			return held
 		}
 		time.Sleep(500 * time.Millisecond)
-		room := ""
-		for _, w := range r.cloud.workers() {
-			if cpus, gpus, mem := w.free(); cpus >= s.CPUs && gpus >= s.GPUs && mem >= s.MemoryGB {
-				room = w.machine.Name
-			}
-		}
+		room := r.machineWithRoom(s)
 		used := r.teamUses(team)
 		if room != "" && used+s.GPUs <= limit {
 			waited += time.Since(at)
--- a/review/_rig2/case_limits_to_come.go
+++ b/review/_rig2/case_limits_to_come.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -124,12 +125,7 @@
 			return held
 		}
 		time.Sleep(500 * time.Millisecond)
-		room := ""
-		for _, w := range r.cloud.workers() {
-			if cpus, gpus, mem := w.free(); cpus >= s.CPUs && gpus >= s.GPUs && mem >= s.MemoryGB {
-				room = w.machine.Name
-			}
-		}
+		room := r.machineWithRoom(s)
 		if room != "" {
 			waited += time.Since(at)
 		}
@@ -140,3 +136,16 @@
 	r.rec.add("check", "%s has been waiting for %.0f s while a machine that fits has room", id, waited.Seconds())
 	return broken
 }
+
+// machineWithRoom returns a machine that a job allows and that has room for a task of it, by what the
+// workers hold, or "".
+func (r *rig) machineWithRoom(s *jobEntry) string {
+	for _, w := range r.cloud.workers() {
+		m := &w.machine
+		allowed := (s.Types == nil || slices.Contains(s.Types, m.Type)) && (s.Zone == "" || s.Zone == m.Zone) && (s.Spot || !m.Spot)
+		if cpus, gpus, mem := w.free(); allowed && cpus >= s.CPUs && gpus >= s.GPUs && mem >= s.MemoryGB {
+			return m.Name
+		}
+	}
+	return ""
+}
--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -26,19 +26,28 @@
 
 // jobBook has what users have uploaded: the descriptions of all jobs, and how long a task really runs.
 type jobBook struct {
-	mu   sync.Mutex
-	jobs map[string]*jobEntry
+	mu      sync.Mutex
+	jobs    map[string]*jobEntry
+	mistake map[string]bool // jobs whose tasks fail
+}
+
+// fail makes the tasks of a job fail that is to be submitted.
+func (b *jobBook) fail(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.mistake[id] = true
 }
 
 type jobEntry struct {
 	protocol.Submission
-	runs time.Duration // of a task; 0 for services
+	runs  time.Duration // of a task; 0 for services
+	fails bool          // submitted with a mistake: every task fails after that time
 }
 
 func (b *jobBook) add(s protocol.Submission, runs time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.jobs[s.ID] = &jobEntry{s, runs}
+	b.jobs[s.ID] = &jobEntry{s, runs, b.mistake[s.ID]}
 }
 
 func (b *jobBook) get(id string) *jobEntry {
@@ -48,7 +57,7 @@
 }
 
 var (
-	book         = &jobBook{jobs: map[string]*jobEntry{}}
+	book         = &jobBook{jobs: map[string]*jobEntry{}, mistake: map[string]bool{}}
 	nodeNames    []string          // of the controllers
 	nodeAddress  map[string]string // front, by name
 	reportEvery  time.Duration
@@ -141,7 +150,11 @@
 			}
 			w.changed = true
 		case t.State == protocol.Running && !t.endsAt.IsZero() && now.After(t.endsAt):
-			w.exit(t, protocol.ExitDone)
+			cause := protocol.ExitDone
+			if t.job.fails {
+				cause = protocol.ExitFailed
+			}
+			w.exit(t, cause)
 		case t.State == protocol.Checkpointing && now.After(t.savedAt):
 			t.Checkpointed = true
 			w.exit(t, protocol.ExitStopped)
