--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -73,6 +73,7 @@
 	readyAt time.Time // the image is there
 	endsAt  time.Time // it completes; zero for services
 	savedAt time.Time // it has saved, while it is saving
+	fails   bool      // it fails instead of completing
 }
 
 // worker is the worker of a machine. Gangs are not simulated.
@@ -90,6 +91,7 @@
 	images      map[string]time.Time
 	changed     bool
 	ended       bool
+	faulty      bool // fails every task that it starts
 	tokenToldAt time.Time
 	server      *http.Server
 	stop        context.CancelFunc
@@ -148,10 +150,13 @@
 			if t.job.runs > 0 {
 				t.endsAt = now.Add(t.job.runs)
 			}
+			if t.fails = t.job.fails || w.faulty; t.fails {
+				t.endsAt = now.Add(300 * time.Millisecond)
+			}
 			w.changed = true
 		case t.State == protocol.Running && !t.endsAt.IsZero() && now.After(t.endsAt):
 			cause := protocol.ExitDone
-			if t.job.fails {
+			if t.fails {
 				cause = protocol.ExitFailed
 			}
 			w.exit(t, cause)
@@ -354,6 +359,14 @@
 	}
 }
 
+// setFaulty makes the machine fail every task that it starts from now on, or ends that.
+func (w *worker) setFaulty(faulty bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faulty = faulty
+	w.rec.add(w.machine.Name, "faulty: %v", faulty)
+}
+
 // running counts a job's tasks that run.
 func (w *worker) running(job string) int {
 	w.mu.Lock()
