--- a/review/_rig2/controllers.go
+++ b/review/_rig2/controllers.go
@@ -55,9 +55,9 @@
 	return command, err
 }
 
-// freePort returns an address with a port that was free a moment ago.
+// freePort returns an address with a free port for a controller. No one else uses that host.
 func freePort() (string, error) {
-	address, l, err := listenLoopback()
+	address, l, err := listenOn(controllerHost)
 	if err != nil {
 		return "", err
 	}
--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -15,9 +17,18 @@
 
 type listener = net.Listener
 
-// listenLoopback opens a free port.
-func listenLoopback() (string, listener, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+// Loopback addresses of this run: the stand-ins have one, the controllers another, so that nothing takes a
+// controller's port while it is away, and runs beside each other don't meet.
+var (
+	standInHost    = fmt.Sprintf("127.%d.%d.2", 20+os.Getpid()/250%200, 1+os.Getpid()%250)
+	controllerHost = fmt.Sprintf("127.%d.%d.1", 20+os.Getpid()/250%200, 1+os.Getpid()%250)
+)
+
+// listenLoopback opens a free port for a stand-in.
+func listenLoopback() (string, listener, error) { return listenOn(standInHost) }
+
+func listenOn(host string) (string, listener, error) {
+	l, err := net.Listen("tcp4", host+":0")
 	if err != nil {
 		return "", nil, err
 	}
