Move long lists of prerequisites off a job's page when they leave no room for starts

Cause: starts are recorded on the job's own page, within the smaller of both limits. Its list of prerequisites is on the same page and never gets shorter; it moved to separate records only at the submission, and only if not a single start fitted beside it. For the same reason a service of 20 replicas with 291 prerequisites ran 9 of them under 4 KiB without any change of limits.

Change: the list moves whenever it takes the room of starts, at the submission and, for every unfinished job, when a leader loads the records. The parts are written before the page is written without the list; a successor that finds both goes on from there.

--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -104,9 +104,11 @@
 	// ArchivedCancelled is whether a prerequisite in the archive was cancelled, which cancels this job,
 	// too. It is not stored; the job's own cancellation is.
 	ArchivedCancelled bool
-	Parts             []*PrerequisitesPart // separate records of the IDs; nil if they fit on the job's page
-	PartsPending      bool                 // the parts are not durable yet, so the job must not be recorded
-	Node              *dependency.Node     // nil if the job neither has prerequisites nor is one
+	// Separate is whether the IDs are stored in Parts instead of the job's own page.
+	Separate     bool
+	Parts        []*PrerequisitesPart // separate records of the IDs; copies of them unless Separate is set
+	PartsPending bool                 // the parts are not durable yet, so the job must not be recorded
+	Node         *dependency.Node     // nil if the job neither has prerequisites nor is one
 }
 
 // NewJob returns a job with the given record and without tasks on machines.
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -66,7 +66,7 @@
 // extension returns the fields of a job that are stored outside JobRecord, and whether there are any.
 func (j *Job) extension() (storage.JobExtension, bool) {
 	extension := storage.JobExtension{Job: j.ID}
-	if len(j.Prerequisites.Parts) == 0 {
+	if !j.Prerequisites.Separate {
 		extension.Prerequisites = j.Prerequisites.IDs
 	}
 	if j.RecordBlockTasks {
--- a/internal/controller/helpers_upgrade_test.go
+++ b/internal/controller/helpers_upgrade_test.go
@@ -31,6 +31,14 @@
 	return &config.StateNext{ValueKB: &valueKB, TxnOps: &txnOps, WriteRPS: &writeRPS}
 }
 
+// announceLimits restarts the controllers with settings that announce lower limits of the state service.
+func announceLimits(w *fake.World, next *config.StateNext) {
+	crashAll(w)
+	w.Cfg.Settings.State.Next = next
+	w.State.AnnounceLimits(next)
+	startAll(w)
+}
+
 // upgrade crashes a controller's process and starts one of the new version after a time.
 func upgrade(w *fake.World, c *fake.Controller, after time.Duration) {
 	c.Crash()
--- a/internal/controller/many_prerequisites_test.go
+++ b/internal/controller/many_prerequisites_test.go
@@ -28,13 +28,13 @@
 	}
 }
 
-// newWorldWithManyPrerequisites makes a world with many done jobs and one running job. It also returns
-// a submission that names all of them as prerequisites, and the running job.
-func newWorldWithManyPrerequisites(t *testing.T) (*fake.World, protocol.Submission, *fake.Job) {
+// newWorldWithManyPrerequisites makes a world with the given number of done jobs, one running job, and
+// values of up to valueKB. It also returns a submission that names all of these jobs as prerequisites,
+// and the running job.
+func newWorldWithManyPrerequisites(t *testing.T, named int, valueKB float64) (*fake.World, protocol.Submission, *fake.Job) {
 	t.Helper()
-	const named = 400
 	s := fake.Settings()
-	s.State = config.State{RPS: 200, WriteRPS: 60, ValueKB: 1, TxnOps: 4}
+	s.State = config.State{RPS: 200, WriteRPS: 60, ValueKB: valueKB, TxnOps: 4}
 	w := newWorldWith(t, s)
 	provisionIdleMachines(t, w)
 	running := submitAfter(t, w, job(1, protocol.Array, 1), 45*time.Second)
@@ -60,7 +60,7 @@
 // The leader crashes while it records the prerequisites of a job, and the user doesn't repeat the
 // submission. The job was never accepted, so a new leader must delete the recorded parts.
 func TestAbandonedSubmissionLeavesNoPrerequisites(t *testing.T) {
-	w, dependent, _ := newWorldWithManyPrerequisites(t)
+	w, dependent, _ := newWorldWithManyPrerequisites(t, 400, 1)
 	parts := func() (n int) {
 		for _, value := range pagesOf(w) {
 			n += recordKinds(t, value)["prerequisites"]
@@ -91,7 +91,7 @@
 // the acceptance), "later" (after it) or "never".
 func testManyPrerequisites(t *testing.T, writes int, cancelled string) {
 	t.Helper()
-	w, dependent, running := newWorldWithManyPrerequisites(t)
+	w, dependent, running := newWorldWithManyPrerequisites(t, 400, 1)
 	sent := 0
 	w.SeparatePageWrites = true
 	w.Network = func(kind, _, _ string) fake.Delivery {
--- a/internal/controller/state_restorer.go
+++ b/internal/controller/state_restorer.go
@@ -32,6 +32,7 @@
 	})
 	l.linkDependencies()
 	l.endInheritedJobs()
+	l.moveLargePrerequisites()
 	l.jobs.InferFailingJobs()
 	l.autoscaler.RestoreMachines()
 	l.controller.context.Log(message.Info, "leading", "term", l.controller.elector.Token(), "jobs", len(l.state.JobOrder),
@@ -106,7 +107,8 @@
 }
 
 // restorePrerequisites loads the parts of long prerequisite lists. A part whose job is not stored
-// was left by a leader whose term ended before it recorded the job.
+// was left by a leader whose term ended before it recorded the job. If the job's own page has the
+// list too, the parts are copies, left by a leader whose term ended while it moved the list.
 func (l *stateRestorer) restorePrerequisites(p storage.LoadedPage) {
 	for _, record := range p.Value.Prerequisites {
 		j := l.state.Jobs[record.Job]
@@ -115,8 +117,12 @@
 			continue
 		}
 		part := &cluster.PrerequisitesPart{PrerequisitesRecord: record}
-		j.Prerequisites.Parts = append(j.Prerequisites.Parts, part)
-		j.Prerequisites.IDs = append(j.Prerequisites.IDs, record.IDs...)
+		prerequisites := &j.Prerequisites
+		prerequisites.Parts = append(prerequisites.Parts, part)
+		prerequisites.Separate = prerequisites.Separate || len(prerequisites.IDs) == 0
+		if prerequisites.Separate {
+			prerequisites.IDs = append(prerequisites.IDs, record.IDs...)
+		}
 		l.store.Load(p.Number, p.Version, part)
 	}
 }
@@ -209,6 +215,14 @@
 	}
 }
 
+// moveLargePrerequisites makes the records of unfinished jobs fit limits that are lower than those
+// under which they were stored.
+func (l *stateRestorer) moveLargePrerequisites() {
+	for _, j := range l.state.JobOrder {
+		l.jobs.MoveLargePrerequisites(j)
+	}
+}
+
 // endInheritedJobs ends completed and cancelled jobs whose end an earlier leader did not record.
 func (l *stateRestorer) endInheritedJobs() {
 	for _, j := range slices.Clone(l.state.JobOrder) {
--- a/internal/controller/submission.go
+++ b/internal/controller/submission.go
@@ -93,7 +93,7 @@
 // prerequisites is cancelled.
 func (h *requestHandler) submissionCommitted(id uint64, j *cluster.Job, cancelled bool) {
 	j.Lifecycle.SubmissionCommitted = true
-	if j.BlockCount() > 1 || len(j.Prerequisites.Parts) > 0 { // see Job.TasksAwaitingRecord
+	if j.BlockCount() > 1 || j.Prerequisites.Separate { // see Job.TasksAwaitingRecord
 		h.state.NeedsScheduling = true
 	}
 	if cancelled {
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -67,6 +67,9 @@
 	}
 }
 
+// AnnounceLimits sets the limits that LowerLimits applies.
+func (s *State) AnnounceLimits(next *config.StateNext) { s.limits.Next = next }
+
 // LowerLimits applies the announced limits. Larger transactions and values are rejected (400) from
 // then on.
 func (s *State) LowerLimits() {
--- a/internal/jobs/prerequisites.go
+++ b/internal/jobs/prerequisites.go
@@ -6,26 +6,91 @@
 	"oakpick/internal/cluster"
 	"oakpick/internal/dependency"
 	"oakpick/internal/message"
+	"oakpick/internal/protocol"
 	"oakpick/internal/storage"
 )
 
 const msPerS = 1000
 
-// SplitPrerequisites moves the prerequisites of a new job to separate records if they do not fit on
-// the job's page.
+// SplitPrerequisites moves the prerequisites of a new job to separate records if they would take too
+// much of the job's page.
 func (m *Manager) SplitPrerequisites(j *cluster.Job) {
-	if j.MinRecordSize() <= m.store.MaxItemSize() {
+	if m.prerequisitesFit(j) {
 		return
 	}
-	for _, record := range storage.SplitPrerequisites(j.ID, j.Prerequisites.IDs, m.store.MaxItemSize()) {
-		j.Prerequisites.Parts = append(j.Prerequisites.Parts, &cluster.PrerequisitesPart{PrerequisitesRecord: record})
+	j.Prerequisites.Separate = true
+	m.addMissingParts(j)
+}
+
+// maxPrerequisitesShare is the share of a page that the prerequisites of a job may take if the starts
+// of its first block don't all fit beside them.
+const maxPrerequisitesShare = 1.0 / 8
+
+// prerequisitesFit reports whether a job's prerequisites, if it has any, may be stored on its own page.
+// They stay there until the job ends, so they must leave room for the starts of its tasks: for all
+// replicas of a service, whose starts stay as well, and for most tasks of an array.
+func (m *Manager) prerequisitesFit(j *cluster.Job) bool {
+	ids, limit := j.Prerequisites.IDs, m.store.MaxItemSize()
+	switch {
+	case len(ids) == 0 || m.store.Fits(j.Blocks[0]):
+		return true
+	case j.Kind == protocol.Service || j.MinRecordSize() > limit:
+		return false
+	}
+	list := storage.PrerequisitesRecord{Job: j.ID, IDs: ids}
+	return float64(list.EncodedSize()) <= maxPrerequisitesShare*float64(limit)
+}
+
+// addMissingParts adds parts for the prerequisites of a job that no part has yet, and returns the new parts.
+func (m *Manager) addMissingParts(j *cluster.Job) []*cluster.PrerequisitesPart {
+	copied, next := map[string]bool{}, 0
+	for _, part := range j.Prerequisites.Parts {
+		next = max(next, part.Part+1)
+		for _, id := range part.IDs {
+			copied[id] = true
+		}
+	}
+	missing := slices.DeleteFunc(slices.Clone(j.Prerequisites.IDs), func(id string) bool { return copied[id] })
+	var added []*cluster.PrerequisitesPart
+	for _, record := range storage.SplitPrerequisites(j.ID, next, missing, m.store.MaxItemSize()) {
+		added = append(added, &cluster.PrerequisitesPart{PrerequisitesRecord: record})
+	}
+	j.Prerequisites.Parts = append(j.Prerequisites.Parts, added...)
+	return added
+}
+
+// MoveLargePrerequisites moves the prerequisites of a loaded job to separate records if they were
+// stored on the job's page under larger limits and don't fit there any more. Without this, no start
+// or cancellation of the job could be recorded under the lower limits. The page is written without
+// them only once all parts are durable, so a successor finds all of them in either place.
+func (m *Manager) MoveLargePrerequisites(j *cluster.Job) {
+	if j.Prerequisites.Separate || m.prerequisitesFit(j) {
+		return
+	}
+	waiter := j.StartWaiter(func() { m.partsCommitted(j) })
+	added := m.addMissingParts(j)
+	m.context.Log(message.Info, "prerequisites moved to separate records", "job", j.ID, "prerequisites", len(j.Prerequisites.IDs), "records", len(added))
+	for _, part := range added {
+		m.markDirty(part, waiter)
+	}
+	if len(added) == 0 { // an earlier leader's term ended when all parts were durable
+		m.partsCommitted(j)
+	}
+}
+
+func (m *Manager) partsCommitted(j *cluster.Job) {
+	if j.Lifecycle.Ended {
+		return // the job's page has its terminal record instead
 	}
+	j.Prerequisites.Separate = true
+	m.markDirty(j.Blocks[0], nil)
+	m.state.NeedsScheduling = true
 }
 
 // RecordPrerequisites writes the separate records of a job's prerequisites and calls onCommit once
 // all are durable, so that a job is never loaded with only some of its prerequisites.
 func (m *Manager) RecordPrerequisites(j *cluster.Job, onCommit func()) {
-	if len(j.Prerequisites.Parts) == 0 {
+	if !j.Prerequisites.Separate {
 		onCommit()
 		return
 	}
--- a/internal/storage/record_size.go
+++ b/internal/storage/record_size.go
@@ -129,14 +129,14 @@
 	return max(least, min(most, pageBytes/2/blockStartSize))
 }
 
-// SplitPrerequisites divides a job's prerequisites into records of at most maxBytes each.
-// A record has at least one prerequisite, even if that exceeds maxBytes.
-func SplitPrerequisites(job string, ids []string, maxBytes int) []PrerequisitesRecord {
+// SplitPrerequisites divides prerequisites of a job into records of at most maxBytes each, which
+// are numbered from firstPart. A record has at least one prerequisite, even if that exceeds maxBytes.
+func SplitPrerequisites(job string, firstPart int, ids []string, maxBytes int) []PrerequisitesRecord {
 	var parts []PrerequisitesRecord
 	for _, id := range ids {
 		last := len(parts) - 1
 		if last < 0 || parts[last].EncodedSize()+textSize(id) > maxBytes {
-			parts = append(parts, PrerequisitesRecord{Job: job, Part: len(parts)})
+			parts = append(parts, PrerequisitesRecord{Job: job, Part: firstPart + len(parts)})
 			last++
 		}
 		parts[last].IDs = append(parts[last].IDs, id)
