Shorten the blocks of a waiting gang that don't fit the lowered limits of the state service

Seen by callers: a gang of more members than a block may hold under limits that came into force while it waited stays queued for good, and keeps its part of the team's limit and of the machines, assigned and never started.

Cause: the starts of a gang are recorded together. canRecordStart doesn't limit them, because their size is checked at the submission, under the limits of that time. The page with all of them exceeds the new size and is passed over for ever.

Change: before a gang is placed, the size of its starts is compared with the limits in force.

--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -65,8 +65,9 @@
 
 // GangState is the state of a gang's current attempt.
 type GangState struct {
-	HasRun bool // the attempt has begun to run
-	Ending bool // the attempt must end before the next one starts
+	HasRun          bool // the attempt has begun to run
+	Ending          bool // the attempt must end before the next one starts
+	ReplacingBlocks bool // the blocks are being replaced by shorter ones
 }
 
 // PlacementState is the state that scheduling cycles keep for a job. Package scheduling owns it,
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -105,9 +105,22 @@
 	return (&Block{Job: j}).BaseSize() + j.MinStarts()*storage.StartReservedSize
 }
 
+// LongestBlockWithin returns the largest number of tasks, at most the present one, with which the job's
+// MinRecordSize is at most maxItemSize; 0 if there is none.
+func (j *Job) LongestBlockWithin(maxItemSize int) int {
+	candidate := *j
+	candidate.RecordBlockTasks = true
+	for candidate.BlockTasks = j.BlockTasks; candidate.BlockTasks > 0; candidate.BlockTasks-- {
+		if candidate.MinRecordSize() <= maxItemSize {
+			break
+		}
+	}
+	return candidate.BlockTasks
+}
+
 // canRecordStart reports whether one more start in a task's block fits in an item of maxItemSize
 // bytes. Blocks that were sized for larger limits of the state service may be full. The starts of a
-// gang are recorded together, and their size is checked at submission.
+// gang are recorded together, and their size is checked for all of them.
 func (j *Job) canRecordStart(index, maxItemSize int) bool {
 	b := j.Blocks[index/j.BlockTasks]
 	return b == nil || j.Kind == protocol.Gang || b.EncodedSize()+storage.StartReservedSize <= maxItemSize
--- a/internal/controller/announced_limits_test.go
+++ b/internal/controller/announced_limits_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"oakpick/internal/fake"
 	"oakpick/internal/protocol"
 )
 
@@ -78,3 +79,33 @@
 	requireNoViolations(t, w)
 	requireAllServed(t, w)
 }
+
+// The starts of a gang are recorded together, and the limits were lowered while it waited. Guards
+// against a gang whose starts can never be written, and that keeps its machines and its part of the
+// limit for good. The leader crashes after any write.
+func TestWaitingGangStartsUnderLoweredLimits(t *testing.T) {
+	t.Parallel()
+	for crashAfter := range 6 {
+		t.Run(fmt.Sprintf("crash after %d writes", crashAfter), func(t *testing.T) {
+			t.Parallel()
+			s := fake.Settings()
+			s.State.ValueKB = 8
+			w := newWorldWith(t, s)
+			blocker := w.Submit(job(1, protocol.Array, 1), 20*time.Second)
+			large := job(2, protocol.Gang, 60)
+			large.CPUs, large.MemoryGB = 0.1, 0.1
+			gang := submitAfter(t, w, large, 2*time.Second, blocker)
+			waitAccepted(t, w, gang, 10*time.Second)
+			announceLimits(w, nextLimits(1, 4, 18))
+			w.State.LowerLimits()
+			w.RunUntil(40*time.Second, func() bool { return blocker.Status == protocol.StatusDone || len(blocker.DoneTasks) > 0 })
+			w.Network = loseWritesAfter(w, crashAfter)
+			w.Run(4 * time.Second)
+			crashLeader(w, time.Second)
+			w.Network = nil
+			runAndPoll(w, 90*time.Second)
+			requireNoViolations(t, w)
+			requireAllServed(t, w)
+		})
+	}
+}
--- a/internal/jobs/manager.go
+++ b/internal/jobs/manager.go
@@ -28,9 +28,9 @@
 	store      *storage.Store
 	timing     timing.Timing
 	leadership Leadership
-	// alwaysRecordBlockTasks is whether BlockTasks is stored for every new job, even if the job has
-	// only one block.
-	alwaysRecordBlockTasks bool
+	// limitsWillChange is whether other limits of the state service are announced. BlockTasks is then
+	// stored for every new job, even if the job has only one block.
+	limitsWillChange bool
 }
 
 // NewManager returns a manager of a cluster's jobs. limitsWillChange is whether the limits of the
@@ -39,7 +39,7 @@
 	context *step.Context, state *cluster.State, store *storage.Store, timing timing.Timing, leadership Leadership, limitsWillChange bool,
 ) *Manager {
 	return &Manager{
-		context: context, state: state, store: store, timing: timing, leadership: leadership, alwaysRecordBlockTasks: limitsWillChange,
+		context: context, state: state, store: store, timing: timing, leadership: leadership, limitsWillChange: limitsWillChange,
 	}
 }
 
@@ -47,7 +47,7 @@
 func (m *Manager) NewJob(record storage.JobRecord) *cluster.Job {
 	j := cluster.NewJob(record, m.state.Team(record.Team), m.timing.Jobs.BlockTasks, m.context.Monotonic())
 	// Without this record, block numbers would refer to other tasks after a change of value_kb.
-	j.RecordBlockTasks = m.alwaysRecordBlockTasks || j.BlockCount() > 1
+	j.RecordBlockTasks = m.limitsWillChange || j.BlockCount() > 1
 	m.state.AddJob(j)
 	return j
 }
--- a/internal/scheduling/gang.go
+++ b/internal/scheduling/gang.go
@@ -18,6 +18,10 @@
 		s.recordUnplaced(j, tasksWithinLimit(j, idle))
 		return
 	}
+	if !s.jobs.CanRecordGang(j) {
+		s.recordUnplaced(j, 0)
+		return
+	}
 	if left := tasksWithinLimit(j, idle); left < idle {
 		s.preemptWithinTeam(j, idle-left)
 		return
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -54,6 +54,9 @@
 // limits.
 func (s *Store) SetLimitsLowered() { s.limitsLowered = true }
 
+// LimitsLowered reports whether the state service refuses values above the announced limits.
+func (s *Store) LimitsLowered() bool { return s.limitsLowered }
+
 // Load adds a page with the items that a new leader read from it. Pages without items have
 // to be loaded too, so that their version is known.
 func (s *Store) Load(number int, version int64, items ...Item) {
