Use a cordoned machine again once a task runs well on it

Cause: HealthState.Cordoned was never cleared, and Schedulable excluded the machine outright; only a release of the empty machine ended it. After two failed jobs, confirmed or not, a machine got no task for ten leases (140 s).

Change: suspicion is an order of preference. After a failure a machine gets no task for one to three leases (at most 45 s); then a job that has waited two leases for other machines is tried there, one task or gang at a time, and the first that runs well clears the machine. A failure on a cordoned machine doesn't count against the job.

--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -76,6 +76,7 @@
 type PlacementState struct {
 	NotBefore           time.Duration // no task is placed earlier, for reasons other than failures
 	IdleSince           time.Duration // when a task last started to wait
+	UnplacedSince       time.Duration // since when there have been tasks without a machine; 0 if there are none
 	HoldUntil           time.Duration // until when the job may wait for a booting machine; 0 if it has not waited
 	Nominated           *Machine      // target machine of a replica that is being moved
 	WithinGuarantee     bool          // the team's guarantee covers the job, as of the last cycle
--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -98,11 +98,20 @@
 // HealthState is a machine's health, derived from failed tasks and command calls. Package jobs owns
 // it, except that package workers extends AvoidUntil after a failed call.
 type HealthState struct {
-	AvoidUntil time.Duration   // no task is placed on the machine before this time
-	FailedJobs map[string]bool // jobs that have failed on the machine; true if they run well elsewhere
-	Cordoned   bool
+	AvoidUntil   time.Duration   // no task is placed on the machine before this time
+	FailedJobs   map[string]bool // jobs that have failed on the machine; true if they run well elsewhere
+	SuspectUntil time.Duration   // until when the machine is suspect because several jobs have failed on it
+	Cordoned     bool            // the machine is suspect until a task runs well on it
+
+	Failures         int           // tasks that failed on the machine since one last ran well
+	LastFailureAt    time.Duration // valid if Failures is not 0
+	LongestFailedRun time.Duration // longest time that one of these tasks ran before it failed
 }
 
+// Suspect reports whether failures suggest that the machine is faulty. A task is placed on a suspect
+// machine only if no other machine has room for it.
+func (h *HealthState) Suspect(now time.Duration) bool { return h.Cordoned || now < h.SuspectUntil }
+
 func newMachine(name string, now time.Duration) *Machine {
 	return &Machine{
 		Name:         name,
--- a/internal/cluster/task.go
+++ b/internal/cluster/task.go
@@ -29,6 +29,7 @@
 	Confirmed     bool  // the worker's answer has confirmed the start
 	Reported      bool  // the worker has reported the task
 
+	PlacedAt     time.Duration // when the task was placed; 0 if Inherited
 	State        protocol.TaskState
 	RunningSince time.Duration
 
--- a/internal/jobs/failures.go
+++ b/internal/jobs/failures.go
@@ -14,6 +14,10 @@
 // is still attempted, but one task (or one gang) at a time and with growing backoff. No machine is
 // cordoned and no task preempted for such a job, and a machine is provisioned only after the job
 // has waited for a long time.
+//
+// A machine on which several jobs have failed is suspect, and a cordoned one stays so. It is avoided
+// completely for a limited time after each failure. After that it gets single tasks at intervals if
+// nothing else has room for them, and the first one that runs well clears the machine.
 
 // MinFailedMachinesForJobFault is the number of machines on which a job must fail to be considered
 // at fault itself.
@@ -23,9 +27,17 @@
 // for the machine to be cordoned.
 const minFailedJobsToCordon = 2
 
-// longAvoidanceLeases is how long a machine is avoided after several jobs have failed on it, as a
-// multiple of the worker lease.
-const longAvoidanceLeases = 10
+// suspicionLeases is how long a machine is suspect after several jobs have failed on it, as a multiple
+// of the worker lease.
+const suspicionLeases = 10
+
+// maxAvoidanceLeases is the longest time for which no task at all is placed on a machine after a
+// failure, as a multiple of the worker lease.
+const maxAvoidanceLeases = 3
+
+// maxAvoidance bounds that time if leases are long: a job that has nowhere else to go must start well
+// within protocol.MaxWaitWithRoomS.
+const maxAvoidance = protocol.MaxWaitWithRoomS * time.Second / 2
 
 // healthyRunFactor determines how long a task must run for its job to count as healthy: this
 // multiple of the sum of the job's longest failed run and a heartbeat interval.
@@ -36,6 +48,12 @@
 	m.context.Stats.TasksFailed++
 	now, j := m.context.Monotonic(), t.Job
 	failures := &j.Failures
+	if !failures.JobAtFault {
+		m.countMachineFailure(t)
+		if t.Machine.Health.Cordoned {
+			return // the machine's fault is known, and says nothing about the job
+		}
+	}
 	failures.Tasks++
 	failures.Machines[t.Machine.Name] = true
 	if t.SeenRunning() {
@@ -73,22 +91,52 @@
 		delete(health.FailedJobs, j.ID)
 		if len(health.FailedJobs) < minFailedJobsToCordon {
 			health.AvoidUntil = min(health.AvoidUntil, m.context.Monotonic()+m.timing.Workers.Lease)
+			health.SuspectUntil = 0
 		}
 	}
 }
 
-// recordMachineFailure records that a job has failed on a machine. No tasks are placed there for
-// a while, or for longer if several jobs have failed there, so that attempts elsewhere can show the
-// cause. If the job is already known to run well elsewhere, the machine's fault is confirmed at once.
+// countMachineFailure counts a failed task on its machine. A machine that is suspect already is avoided
+// for longer with every failure.
+func (m *Manager) countMachineFailure(t *cluster.Task) {
+	now, health := m.context.Monotonic(), &t.Machine.Health
+	health.Failures++
+	health.LastFailureAt = now
+	if t.SeenRunning() {
+		health.LongestFailedRun = max(health.LongestFailedRun, now-t.RunningSince)
+	}
+	if health.Suspect(now) {
+		health.AvoidUntil = max(health.AvoidUntil, now+m.avoidance(health.Failures))
+	}
+}
+
+// avoidance returns for how long no task is placed on a machine after the given number of failures.
+func (m *Manager) avoidance(failures int) time.Duration {
+	return min(time.Duration(min(failures, maxAvoidanceLeases))*m.timing.Workers.Lease, maxAvoidance)
+}
+
+// limitTrials delays the next task for a suspect machine after one was placed there, so that a faulty
+// machine fails one task after the other only slowly.
+func (m *Manager) limitTrials(machine *cluster.Machine) {
+	now := m.context.Monotonic()
+	if machine.Health.Suspect(now) {
+		machine.Health.AvoidUntil = max(machine.Health.AvoidUntil, now+m.avoidance(1))
+	}
+}
+
+// recordMachineFailure records that a job has failed on a machine. No tasks are placed there for a
+// while, so that attempts elsewhere can show the cause, and the machine is suspect if several jobs
+// have failed there. If the job is already known to run well elsewhere, the machine's fault is
+// confirmed at once.
 func (m *Manager) recordMachineFailure(machine *cluster.Machine, j *cluster.Job) {
-	now, lease, health := m.context.Monotonic(), m.timing.Workers.Lease, &machine.Health
+	now, health := m.context.Monotonic(), &machine.Health
 	if _, ok := health.FailedJobs[j.ID]; !ok {
 		health.FailedJobs[j.ID] = false
 	}
-	health.AvoidUntil = max(health.AvoidUntil, now+lease)
 	if len(health.FailedJobs) >= minFailedJobsToCordon {
-		health.AvoidUntil = max(health.AvoidUntil, now+longAvoidanceLeases*lease)
+		health.SuspectUntil = max(health.SuspectUntil, now+suspicionLeases*m.timing.Workers.Lease)
 	}
+	health.AvoidUntil = max(health.AvoidUntil, now+m.avoidance(len(health.FailedJobs)))
 	if m.runsElsewhere(j, machine) {
 		m.confirmMachineFailure(machine, j)
 	}
@@ -144,13 +192,35 @@
 	}
 }
 
-// ClearFailuresIfHealthy clears a job's failures if a running task has shown that the job is healthy.
+// ClearFailuresIfHealthy clears the failures of a job and of a machine if a running task has shown that
+// they are healthy.
 func (m *Manager) ClearFailuresIfHealthy(t *cluster.Task) {
-	failures := &t.Job.Failures
-	healthyRun := healthyRunFactor * (failures.LongestRun + m.timing.Workers.HeartbeatInterval)
-	if failures.Tasks > 0 && t.SeenRunning() && m.context.Monotonic()-t.RunningSince > healthyRun {
+	if failures := &t.Job.Failures; failures.Tasks > 0 && m.runsLongerThanFailed(t, failures.LongestRun) {
 		m.clearFailures(t.Job, t.Machine)
 	}
+	if health := &t.Machine.Health; health.Failures > 0 && m.runsLongerThanFailed(t, health.LongestFailedRun) {
+		m.clearMachineFailures(t)
+	}
+}
+
+// runsLongerThanFailed reports whether a task has run for much longer than the longest failed run.
+func (m *Manager) runsLongerThanFailed(t *cluster.Task, longestFailed time.Duration) bool {
+	healthyRun := healthyRunFactor * (longestFailed + m.timing.Workers.HeartbeatInterval)
+	return t.SeenRunning() && m.context.Monotonic()-t.RunningSince > healthyRun
+}
+
+// clearMachineFailures resets the health of a task's machine after the task has run well there. A task
+// that was already running when the last one failed proves nothing: machines may fail only new tasks.
+func (m *Manager) clearMachineFailures(t *cluster.Task) {
+	health := &t.Machine.Health
+	if health.Failures == 0 || max(t.PlacedAt, t.RunningSince) <= health.LastFailureAt {
+		return
+	}
+	if health.Cordoned {
+		m.context.Log(message.Info, "machine uncordoned", "machine", t.Machine.Name, "job", t.Job.ID)
+	}
+	*health = cluster.HealthState{FailedJobs: map[string]bool{}}
+	m.state.NeedsScheduling = true
 }
 
 // InferFailingJobs estimates, when a leader's term begins, which jobs were failing on every machine:
--- a/internal/jobs/manager.go
+++ b/internal/jobs/manager.go
@@ -77,8 +77,10 @@
 	}
 	t := &cluster.Task{
 		Job: j, Block: b, Index: index, Attempt: attempt, Machine: machine, Incarnation: machine.Worker.Incarnation, RunningSince: cluster.NotRunning,
+		PlacedAt: m.context.Monotonic(),
 	}
 	t.Attach()
+	m.limitTrials(machine)
 	machine.Provisioning.EmptySince = 0
 	m.state.AssignImage(j, machine)
 	if waiter == nil {
@@ -185,6 +187,7 @@
 		m.state.ObserveRun(j, m.context.Monotonic()-t.RunningSince)
 	}
 	m.clearFailures(j, t.Machine)
+	m.clearMachineFailures(t)
 	m.markDone(j, t.Index)
 	if j.Kind == protocol.Gang { // all members complete together
 		// The other members stay on their machines until they report their own exit, since a member may
--- a/internal/protocol/commands.go
+++ b/internal/protocol/commands.go
@@ -3,6 +3,10 @@
 // StableStartS is how many seconds a task has to run without interruption for its start to count.
 const StableStartS = 30
 
+// MaxWaitWithRoomS is how many seconds a job may wait while a machine that fits has room and its team is
+// under its limit.
+const MaxWaitWithRoomS = 90
+
 // Verb is the action that a command requests from a worker.
 type Verb uint8
 
--- a/internal/scheduling/cycle.go
+++ b/internal/scheduling/cycle.go
@@ -11,6 +11,7 @@
 	feasible map[cluster.RequestClass][]*cluster.Machine // machines with enough free resources for a task of the class
 	freeing  []*cluster.Machine                          // machines with stopping tasks
 	booting  []*cluster.Machine
+	suspect  []*cluster.Machine // machines that are registered and suspect
 	// preemptableByRank lists, by rank, the machines with tasks of a lower rank.
 	preemptableByRank map[int][]*cluster.Machine
 	// preemptionFailed has the classes of jobs for which no preemption frees enough resources.
@@ -42,7 +43,7 @@
 	c := &s.cycle
 	c.feasible, c.preemptionFailed = map[cluster.RequestClass][]*cluster.Machine{}, map[preemptionClass]bool{}
 	c.noVictimsUpToRank = map[*cluster.Team]int{}
-	c.freeing, c.booting, c.preemptableByRank = c.freeing[:0], c.booting[:0], nil
+	c.freeing, c.booting, c.suspect, c.preemptableByRank = c.freeing[:0], c.booting[:0], c.suspect[:0], nil
 	for _, t := range s.state.Teams {
 		t.Reserved = resources.Amount{}
 	}
@@ -54,6 +55,9 @@
 		} else if machine.Stopping != (resources.Amount{}) {
 			c.freeing = append(c.freeing, machine)
 		}
+		if machine.Worker.Registered && machine.Health.Suspect(s.context.Monotonic()) {
+			c.suspect = append(c.suspect, machine)
+		}
 	}
 }
 
--- a/internal/scheduling/placement.go
+++ b/internal/scheduling/placement.go
@@ -9,14 +9,19 @@
 )
 
 // chooseMachine picks a machine for one task: the nominated one, or else the best of a random
-// sample of feasible machines. It returns nil if there is none, or if the task should wait for
-// a booting machine.
+// sample of feasible machines, or else a suspect one if the job has waited long enough. It returns
+// nil if there is none, or if the task should wait for a booting machine.
 func (s *Scheduler) chooseMachine(j *cluster.Job, perZone map[string]int) *cluster.Machine {
 	if nominated := s.takeNominated(j, perZone); nominated != nil {
 		return nominated
 	}
 	best := s.bestOfSample(j, perZone)
-	if best != nil && s.shouldAwaitBooting(j, best) {
+	switch {
+	case best == nil && s.mayUseSuspect(j):
+		return s.bestSuspect(j, perZone)
+	case best == nil:
+		return nil
+	case s.shouldAwaitBooting(j, best):
 		return nil
 	}
 	return best
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -132,6 +132,9 @@
 	perZone := j.TasksPerZone()
 	idle -= awaiting
 	idle -= s.placeTasks(j, idle, perZone)
+	if idle+awaiting == 0 {
+		j.Placement.UnplacedSince = 0
+	}
 	if j.Failures.JobAtFault {
 		s.recordFailingUnplaced(j, min(idle, 1))
 		return
@@ -176,6 +179,9 @@
 }
 
 func (s *Scheduler) recordUnplaced(j *cluster.Job, tasks int) {
+	if j.Placement.UnplacedSince == 0 {
+		j.Placement.UnplacedSince = s.context.Monotonic()
+	}
 	s.unplaced = append(s.unplaced, Unplaced{j, tasks})
 }
 
@@ -185,13 +191,18 @@
 
 // Schedulable reports whether tasks may be placed on a machine.
 func (s *Scheduler) Schedulable(machine *cluster.Machine) bool {
+	return s.reachable(machine) && !machine.Health.Suspect(s.context.Monotonic())
+}
+
+// reachable reports whether tasks could be placed on a machine if it were not suspect.
+func (s *Scheduler) reachable(machine *cluster.Machine) bool {
 	worker, provisioning := &machine.Worker, &machine.Provisioning
 	switch {
 	case !worker.Registered || worker.Expired() || worker.InterruptionAt != 0:
 		return false
 	case provisioning.Releasing || provisioning.Draining || provisioning.Failed:
 		return false
-	case machine.Health.Cordoned || s.context.Monotonic() < machine.Health.AvoidUntil:
+	case s.context.Monotonic() < machine.Health.AvoidUntil:
 		return false
 	}
 	silentLimit := time.Duration(maxSilentHeartbeats * float64(s.timing.Workers.HeartbeatInterval))
