Load jobs whatever value_kb was when they were written, and lead despite a damaged job

Polls get 503 for good, and all tasks are lost.

Cause: a job of one block doesn't record the length of its blocks. The loader derived it from the present value_kb, found the records contradicting it, and gave up the term for this one job.

Change: the length is the recorded one, or follows from the settings if the records agree, or from the records themselves; it is recorded from then on. Attempt numbers aren't used twice. A job whose records can't be understood is damaged: it is shown in status with the reason, nothing is started or stopped for it, and the other jobs are served.

--- a/internal/autoscaling/consolidation.go
+++ b/internal/autoscaling/consolidation.go
@@ -190,7 +190,7 @@
 	reserved := map[*bin]resources.Amount{}
 	for _, t := range machine.Tasks {
 		j := t.Job
-		if j.Kind == protocol.Gang || t.Stopping || j.Cancelled {
+		if j.Kind == protocol.Gang || t.Stopping || j.Cancelled || j.DamagedBy != nil {
 			return false
 		}
 		if j.Kind == protocol.Array {
@@ -242,7 +242,7 @@
 		return // the other tasks have to end first
 	}
 	for _, t := range machine.Tasks {
-		if t.Stopping || !t.SeenRunning() || now-t.RunningSince < minRunBeforeMove || t.Job.IdleTasks() > 0 {
+		if t.Stopping || t.Job.DamagedBy != nil || !t.SeenRunning() || now-t.RunningSince < minRunBeforeMove || t.Job.IdleTasks() > 0 {
 			continue
 		}
 		to := a.moveTarget(t.Job, machine, reserved)
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -19,6 +19,7 @@
 	Request      resources.Amount // of each task
 	allowedTypes string           // allowed machine types, joined into one comparable key
 	Lifecycle    Lifecycle
+	DamagedBy    error // why the job is damaged; nil if it is not
 
 	Blocks     map[int]*Block
 	DoneBlocks storage.Bitmap
@@ -127,6 +128,16 @@
 	return j
 }
 
+// RestoreDoneBlocks restores the blocks that are done from a loaded record, which must be valid.
+func (j *Job) RestoreDoneBlocks() {
+	j.DoneBlocks = storage.MustParseBitmap(j.CompletedBlocks)
+	for number := range j.BlockCount() {
+		if j.DoneBlocks.Has(number) {
+			j.DoneTasks += j.BlockLen(number)
+		}
+	}
+}
+
 // IsDone reports whether a task is done.
 func (j *Job) IsDone(index int) bool {
 	number := index / j.BlockTasks
@@ -161,7 +172,7 @@
 
 // IdleTasks returns the number of tasks that wait to be started.
 func (j *Job) IdleTasks() int {
-	if j.Cancelled || j.Lifecycle.Ended {
+	if j.Cancelled || j.Lifecycle.Ended || j.DamagedBy != nil {
 		return 0
 	}
 	return j.Tasks - j.DoneTasks - j.counts.unfinished
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -37,9 +37,7 @@
 		return nil, err
 	}
 	l := emptyLeader(c)
-	if err := (&stateRestorer{leader: l}).restore(pages); err != nil {
-		return nil, err
-	}
+	(&stateRestorer{leader: l}).restore(pages)
 	return l, nil
 }
 
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -21,6 +21,7 @@
 	reasonTasksNotStopped          = "its tasks can't be stopped yet"
 	reasonWriteBacklog             = "too much to be written"
 	reasonMachineTypesUnknown      = "machine types not known yet"
+	reasonJobDamaged               = "its records are damaged"
 	reasonStateServiceUnresponsive = "the state service does not answer"
 )
 
@@ -177,6 +178,8 @@
 	switch {
 	case j == nil:
 		h.replyError(request.ID, http.StatusNotFound, "no such job")
+	case j.DamagedBy != nil && !j.IsDurablyCancelled():
+		h.context.Refuse(request.ID, reasonJobDamaged)
 	case j.EndUncertain(): // all tasks are done, and the record of the end is being written
 		h.context.Refuse(request.ID, reasonEndUncertain)
 	case j.IsDurablyCancelled():
--- a/internal/controller/state_restorer.go
+++ b/internal/controller/state_restorer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 
 	"oakpick/internal/cluster"
@@ -12,21 +11,29 @@
 )
 
 // stateRestorer rebuilds the state of a new leader from the stored pages.
-type stateRestorer struct{ *leader }
+type stateRestorer struct {
+	*leader
+	blocks map[string][]storage.BlockRecord // by job
+	// withoutBlockTasks are the jobs whose records don't have the number of tasks in a block.
+	withoutBlockTasks []*cluster.Job
+}
 
 // restore loads all pages and links the restored records.
-func (l *stateRestorer) restore(pages []storage.LoadedPage) error {
-	for _, p := range pages { // jobs first, since their blocks may be on other pages
-		if err := l.restorePage(p); err != nil {
-			return err
+func (l *stateRestorer) restore(pages []storage.LoadedPage) {
+	l.blocks = map[string][]storage.BlockRecord{}
+	for _, p := range pages {
+		for _, record := range p.Value.Blocks {
+			l.blocks[record.Job] = append(l.blocks[record.Job], record)
 		}
 	}
+	for _, p := range pages { // jobs first, since their blocks may be on other pages
+		l.restorePage(p)
+	}
 	for _, p := range pages {
-		if err := l.restoreBlocks(p); err != nil {
-			return err
-		}
+		l.restoreBlocks(p)
 		l.restorePrerequisites(p)
 	}
+	l.reserveUsedAttempts()
 	slices.SortStableFunc(l.state.JobOrder, func(a, b *cluster.Job) int {
 		return cmp.Or(cmp.Compare(a.SubmittedMs, b.SubmittedMs), cmp.Compare(a.ID, b.ID))
 	})
@@ -37,11 +44,10 @@
 	l.autoscaler.RestoreMachines()
 	l.controller.context.Log(message.Info, "leading", "term", l.controller.elector.Token(), "jobs", len(l.state.JobOrder),
 		"ended_jobs", len(l.state.EndedJobs), "machines", len(l.state.Machines), "pages", l.store.PageCount(), "oversized_pages", l.store.OversizedPages())
-	return nil
 }
 
 // restorePage loads all records of a page except blocks and prerequisites.
-func (l *stateRestorer) restorePage(p storage.LoadedPage) error {
+func (l *stateRestorer) restorePage(p storage.LoadedPage) {
 	l.store.Load(p.Number, p.Version)
 	if p.Stale {
 		l.store.MarkPageStale(l.controller.context.Monotonic(), p.Number)
@@ -59,14 +65,11 @@
 		extensions[extension.Job] = extension
 	}
 	for _, record := range p.Value.Jobs {
-		if err := l.restoreJob(p, record, extensions[record.ID]); err != nil {
-			return err
-		}
+		l.restoreJob(p, record, extensions[record.ID])
 	}
 	for _, record := range p.Value.Provisioning {
 		l.store.Load(p.Number, p.Version, l.autoscaler.RestoreRequest(record))
 	}
-	return nil
 }
 
 func (l *stateRestorer) restoreOptions(p storage.LoadedPage) {
@@ -80,30 +83,26 @@
 	l.applyOptions(options)
 }
 
-func (l *stateRestorer) restoreJob(p storage.LoadedPage, record storage.JobRecord, extension storage.JobExtension) error {
+func (l *stateRestorer) restoreJob(p storage.LoadedPage, record storage.JobRecord, extension storage.JobExtension) {
 	j := l.jobs.NewJob(record)
 	j.Prerequisites.IDs = extension.Prerequisites
-	if extension.BlockTasks > 0 {
-		j.BlockTasks, j.RecordBlockTasks = extension.BlockTasks, true
-	}
-	done, err := storage.ParseBitmap(record.CompletedBlocks)
-	if err != nil {
-		return fmt.Errorf("job %s: %w", record.ID, err)
-	}
-	if err := record.ValidateBlocks(j.BlockTasks, done); err != nil {
-		return err
-	}
-	j.DoneBlocks = done
 	j.Lifecycle = cluster.Lifecycle{
 		SubmissionCommitted: true, CancellationCommitted: record.Cancelled, CancelledAt: l.controller.context.Monotonic(),
 	}
-	for number := range j.BlockCount() {
-		if done.Has(number) {
-			j.DoneTasks += j.BlockLen(number)
-		}
+	blockTasks, err := storage.FindBlockTasks(&record, extension.BlockTasks, j.BlockTasks, l.blocks[record.ID])
+	if err != nil {
+		l.controller.context.Log(message.Error, "job is damaged", "job", record.ID, "error", err.Error())
+		j.DamagedBy = err
+		l.store.Load(p.Number, p.Version, &cluster.DamagedJobRecord{JobRecord: record, Extension: extension})
+		return
 	}
+	if extension.BlockTasks == 0 {
+		l.withoutBlockTasks = append(l.withoutBlockTasks, j)
+	}
+	j.RecordBlockTasks = j.RecordBlockTasks || extension.BlockTasks != 0 || blockTasks != j.BlockTasks
+	j.BlockTasks = blockTasks
+	j.RestoreDoneBlocks()
 	l.store.Load(p.Number, p.Version, j.Blocks[0])
-	return nil
 }
 
 // restorePrerequisites loads the parts of long prerequisite lists. A part whose job is not stored
@@ -127,23 +126,35 @@
 	}
 }
 
-func (l *stateRestorer) restoreBlocks(p storage.LoadedPage) error {
+func (l *stateRestorer) restoreBlocks(p storage.LoadedPage) {
 	for _, record := range p.Value.Blocks {
 		j := l.state.Jobs[record.Job]
-		if j == nil {
+		switch {
+		case j == nil:
 			l.dropBlock(record)
 			continue
+		case j.DamagedBy != nil:
+			l.restoreDamagedBlock(p, j, record)
+			continue
 		}
 		b := j.Blocks[record.Block]
 		if b == nil {
 			b = j.EnsureBlock(record.Block)
 			l.store.Load(p.Number, p.Version, b)
 		}
-		if err := l.restoreBlock(b, record); err != nil {
-			return err
+		l.restoreBlock(b, record)
+	}
+}
+
+// restoreDamagedBlock keeps a block of a damaged job as it is stored. Its tasks may be on machines, so
+// they count there and towards the team's limit.
+func (l *stateRestorer) restoreDamagedBlock(p storage.LoadedPage, j *cluster.Job, record storage.BlockRecord) {
+	l.store.Load(p.Number, p.Version, &cluster.DamagedBlockRecord{BlockRecord: record})
+	for _, start := range record.Starts {
+		if j.ActiveTasks[start.Task] == nil {
+			l.restoreStart(j.Blocks[0], start)
 		}
 	}
-	return nil
 }
 
 // dropBlock skips a block whose job is not among the unfinished jobs. If the job has ended, an
@@ -158,33 +169,44 @@
 	l.controller.context.Log(message.Error, "block of an unknown job dropped", "job", record.Job, "block", record.Block, "starts", len(record.Starts))
 }
 
-func (l *stateRestorer) restoreBlock(b *cluster.Block, record storage.BlockRecord) error {
+// restoreBlock restores the tasks of a block, whose record storage.FindBlockTasks has checked.
+func (l *stateRestorer) restoreBlock(b *cluster.Block, record storage.BlockRecord) {
 	j := b.Job
-	done, err := storage.ParseBitmap(record.Done)
-	if err != nil {
-		return fmt.Errorf("job %s: %w", j.ID, err)
-	}
-	if err := record.ValidateTasks(j.Tasks, j.BlockTasks, done); err != nil {
-		return err
-	}
-	b.LastAttempt, b.Done = record.LastAttempt, done
+	b.LastAttempt, b.Done = record.LastAttempt, storage.MustParseBitmap(record.Done)
 	if j.DoneBlocks.Has(b.Number) {
 		// The first block records the completion of this block, which was about to be removed.
 		// The first block itself stays because it carries the job's record.
 		if b.Number != 0 {
 			l.jobs.RemoveBlock(b)
 		}
-		return nil
+		return
 	}
 	for i := range j.BlockLen(b.Number) {
-		if done.Has(i) {
+		if b.Done.Has(i) {
 			j.DoneTasks++
 		}
 	}
 	for _, start := range record.Starts {
 		l.restoreStart(b, start)
 	}
-	return nil
+}
+
+// reserveUsedAttempts keeps the attempt numbers of a job from being used twice if its only block may now
+// be several ones, because value_kb has changed since it was written: the first block has the
+// numbers that were used for all tasks.
+func (l *stateRestorer) reserveUsedAttempts() {
+	for _, j := range l.withoutBlockTasks {
+		used := j.Blocks[0].LastAttempt
+		if used == 0 || len(j.Blocks) > 1 || !storage.MayBeOneBlock(j.Tasks) {
+			continue
+		}
+		for number := 1; number < j.BlockCount(); number++ {
+			if b := j.EnsureBlock(number); !j.DoneBlocks.Has(number) {
+				b.LastAttempt = used
+				l.store.MarkDirty(l.controller.context.Monotonic(), b, nil)
+			}
+		}
+	}
 }
 
 func (l *stateRestorer) restoreStart(b *cluster.Block, start storage.StartRecord) {
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -30,6 +30,7 @@
 	UnconfirmedMachines []string                 `json:"machines_in_doubt"` // machines at which unconfirmed start commands may still arrive
 	CordonedMachines    []string                 `json:"machines_set_aside"`
 	FailingJobs         []string                 `json:"jobs_failing_everywhere"`
+	DamagedJobs         map[string]string        `json:"damaged_jobs,omitempty"` // reasons by job ID
 	PagesToWrite        int                      `json:"pages_to_write"`
 	OldestPageWaitS     float64                  `json:"oldest_page_waits_s"`
 	BudgetFill          float64                  `json:"write_budget_fill"` // from 0 to 1
@@ -87,7 +88,7 @@
 		SinceS: (now - elector.LeadingSince()).Seconds(), LeaseRemainingS: max(0, elector.LeaseUntil()-now).Seconds(),
 		Jobs: len(l.state.JobOrder), EndedJobs: len(l.state.EndedJobs), Archive: l.archive.Status(),
 		Classes: map[string]ClassCounts{}, Teams: map[string]TeamUsage{}, Machines: map[string]MachineCounts{},
-		UnconfirmedMachines: []string{}, CordonedMachines: []string{}, FailingJobs: l.failingJobs(),
+		UnconfirmedMachines: []string{}, CordonedMachines: []string{}, FailingJobs: l.failingJobs(), DamagedJobs: l.damagedJobs(),
 		PagesToWrite: pages, OldestPageWaitS: oldest.Seconds(), BudgetFill: budget.Fill, BudgetWaitS: budget.WaitingFor.Seconds(), Pages: l.store.PageCount(), OversizedPages: l.store.OversizedPages(),
 		SteppedDownPeers: elector.SteppedDownPeers(),
 	}
@@ -151,6 +152,17 @@
 	}
 }
 
+// damagedJobs returns why jobs are damaged, by job ID.
+func (l *leader) damagedJobs() map[string]string {
+	reasons := map[string]string{}
+	for _, j := range l.state.JobOrder {
+		if j.DamagedBy != nil {
+			reasons[j.ID] = j.DamagedBy.Error()
+		}
+	}
+	return reasons
+}
+
 // failingJobs returns the IDs of the jobs that fail on every machine.
 func (l *leader) failingJobs() []string {
 	ids := []string{}
--- a/internal/jobs/completion.go
+++ b/internal/jobs/completion.go
@@ -8,7 +8,7 @@
 // EndIfFinished ends a job that is complete or cancelled and has no tasks on machines any more. The
 // waiter, if not nil, runs once the job's end is durable.
 func (m *Manager) EndIfFinished(j *cluster.Job, waiter *storage.CommitWaiter) {
-	if j.Lifecycle.Ended || j.Prerequisites.PartsPending || len(j.ActiveTasks) > 0 {
+	if j.Lifecycle.Ended || j.Prerequisites.PartsPending || len(j.ActiveTasks) > 0 || j.DamagedBy != nil {
 		return
 	}
 	if j.Cancelled {
--- a/internal/jobs/manager.go
+++ b/internal/jobs/manager.go
@@ -111,6 +111,9 @@
 	}
 	m.state.RemoveTask(t)
 	m.state.NeedsScheduling = true
+	if t.Job.DamagedBy != nil {
+		return // its records are kept as they are
+	}
 	m.markBlockDirty(t.Block)
 	if t.Job.Kind == protocol.Gang {
 		gangMemberRemoved(t.Job)
@@ -145,6 +148,10 @@
 // attempt once the result is durable.
 func (m *Manager) HandleExit(t *cluster.Task, status protocol.TaskStatus) {
 	j, machine, attempt := t.Job, t.Machine, status.Attempt
+	if j.DamagedBy != nil {
+		m.handleDamagedExit(t)
+		return
+	}
 	machine.Worker.EndedAttempts[attempt] = cluster.EndedAttempt{
 		FencingToken: max(t.SentToken, m.leadership.FirstToken()-1), EndedAt: m.context.Monotonic(),
 	}
@@ -163,6 +170,14 @@
 	m.EndIfFinished(j, waiter)
 }
 
+// handleDamagedExit handles the exit of a task whose job is damaged. The result can't be recorded, so the
+// task stays and its worker keeps the result, unless the job is cancelled and nobody needs it.
+func (m *Manager) handleDamagedExit(t *cluster.Task) {
+	if t.Job.IsDurablyCancelled() {
+		m.Remove(t)
+	}
+}
+
 // applyExitCause updates the job and the machine according to the cause of an exit.
 func (m *Manager) applyExitCause(t *cluster.Task, cause protocol.ExitCause) {
 	now, j, machine := m.context.Monotonic(), t.Job, t.Machine
@@ -262,8 +277,8 @@
 // Preempt stops a task, or all tasks of its gang, with time to write a checkpoint if the job uses checkpoints.
 func (m *Manager) Preempt(t *cluster.Task, reason string) {
 	j := t.Job
-	if !t.Active() {
-		return // already removed together with its gang
+	if !t.Active() || j.DamagedBy != nil {
+		return // already removed together with its gang, or of a job whose tasks stay as they are
 	}
 	grace := 0.0
 	if j.Checkpoints() {
--- a/internal/jobs/prerequisites.go
+++ b/internal/jobs/prerequisites.go
@@ -64,7 +64,7 @@
 // or cancellation of the job could be recorded under the lower limits. The page is written without
 // them only once all parts are durable, so a successor finds all of them in either place.
 func (m *Manager) MoveLargePrerequisites(j *cluster.Job) {
-	if j.Prerequisites.Separate || m.prerequisitesFit(j) {
+	if j.Prerequisites.Separate || j.DamagedBy != nil || m.prerequisitesFit(j) {
 		return
 	}
 	waiter := j.StartWaiter(func() { m.partsCommitted(j) })
--- a/internal/scheduling/preemption.go
+++ b/internal/scheduling/preemption.go
@@ -13,7 +13,7 @@
 // mayPreempt reports whether a task may be preempted for a job.
 func mayPreempt(j *cluster.Job, victim *cluster.Task) bool {
 	other := victim.Job
-	if other == j || other.Cancelled || j.Failures.JobAtFault {
+	if other == j || other.Cancelled || other.DamagedBy != nil || j.Failures.JobAtFault {
 		return false
 	}
 	// A victim has to rank below the job. Otherwise it would precede the job in the queue, take
--- a/internal/scheduling/quota.go
+++ b/internal/scheduling/quota.go
@@ -107,7 +107,7 @@
 func (s *Scheduler) preemptableTeamTasks(j *cluster.Job) []*cluster.Task {
 	var tasks []*cluster.Task
 	for _, other := range s.state.JobOrder {
-		if other.Team != j.Team || other.EffectivePriority() >= j.EffectivePriority() || other.Lifecycle.Ended || other.Cancelled ||
+		if other.Team != j.Team || other.EffectivePriority() >= j.EffectivePriority() || other.Lifecycle.Ended || other.Cancelled || other.DamagedBy != nil ||
 			rank(other) >= rank(j) || other.Kind == protocol.Service {
 			continue
 		}
--- a/internal/storage/bitmap.go
+++ b/internal/storage/bitmap.go
@@ -33,5 +33,15 @@
 // Text returns the stored form.
 func (b Bitmap) Text() string { return hex.EncodeToString(b) }
 
+// MustParseBitmap is like ParseBitmap, but panics if the text is invalid. It is for records that were
+// checked before.
+func MustParseBitmap(s string) Bitmap {
+	b, err := ParseBitmap(s)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
 // ParseBitmap decodes the stored form. The error is that of hex.DecodeString.
 func ParseBitmap(s string) (Bitmap, error) { return hex.DecodeString(s) }
--- a/internal/storage/record_size.go
+++ b/internal/storage/record_size.go
@@ -71,6 +71,16 @@
 	return n + textSizes(r.ID, r.Class, r.Team, r.Image, r.Zone) + textSizes(r.Types...)
 }
 
+// EncodedSize returns the size of a block.
+func (r *BlockRecord) EncodedSize() int {
+	const hexDigitBits = 4
+	size := BlockSize(r.Job, len(r.Done)*hexDigitBits)
+	for i := range r.Starts {
+		size += r.Starts[i].EncodedSize()
+	}
+	return size
+}
+
 // EncodedSize returns the size of a job's extension.
 func (r *JobExtension) EncodedSize() int {
 	const brackets = 6
@@ -122,11 +132,14 @@
 	return max(r.EncodedSize(), r.EncodedSize()+(r.Count-len(r.Machines))*maxMachineNameSize)
 }
 
+// leastBlockTasks and mostBlockTasks are the bounds of BlockTasks. They are part of the stored format,
+// as blockStartSize is.
+const leastBlockTasks, mostBlockTasks = 4, 64
+
 // BlockTasks returns the number of tasks in a block, given the maximum size of a page in
 // bytes: as many as fill at most half a page, within fixed bounds.
 func BlockTasks(pageBytes int) int {
-	const least, most = 4, 64
-	return max(least, min(most, pageBytes/2/blockStartSize))
+	return max(leastBlockTasks, min(mostBlockTasks, pageBytes/2/blockStartSize))
 }
 
 // SplitPrerequisites divides prerequisites of a job into records of at most maxBytes each, which
