Tell unknown capacity of a machine from none

Cause: State.Free answered with an empty amount for a machine whose type isn't in the catalog, and Schedulable didn't ask for the type.

Change: Free says whether the capacity is known. A machine of unknown capacity isn't schedulable, so nothing is placed, preempted, moved, drained or reserved there, and it isn't released as idle.

Tests at: TestEmptyRequestAtLeaderWithoutTypes ends with a nil pointer, TestNothingPreemptedOnUnknownCapacity with 7 of 8 tasks preempted.

--- a/internal/autoscaling/consolidation.go
+++ b/internal/autoscaling/consolidation.go
@@ -264,7 +264,8 @@
 	perZone := perZoneWithout(j, from)
 	for _, to := range a.state.MachinesByName {
 		a.context.Stats.MachinesExamined++
-		if j.Request.FitsIn(a.state.Free(to).Minus(reserved[to])) && a.mayMove(j, from, to, perZone) {
+		free, known := a.state.Free(to)
+		if known && j.Request.FitsIn(free.Minus(reserved[to])) && a.mayMove(j, from, to, perZone) {
 			return to
 		}
 	}
--- a/internal/autoscaling/plan.go
+++ b/internal/autoscaling/plan.go
@@ -60,8 +60,8 @@
 		case machineType == nil:
 		case a.scheduler.Schedulable(machine):
 			// A stopping task's resources are free long before a new machine would be up.
-			free := a.state.Free(machine).Plus(machine.Stopping)
-			bins = append(bins, &bin{machine: machine, offering: machine.Offering(), free: free})
+			free, _ := a.state.Free(machine) // its type is known
+			bins = append(bins, &bin{machine: machine, offering: machine.Offering(), free: free.Plus(machine.Stopping)})
 		case a.scheduler.ExpectedToJoin(machine):
 			bins = append(bins, a.bootingBin(machine, machineType))
 		}
--- a/internal/autoscaling/scale_in.go
+++ b/internal/autoscaling/scale_in.go
@@ -71,6 +71,8 @@
 		return ""
 	case machine.Provisioning.Draining:
 		return "drained"
+	case a.state.Catalog.Type(machine.Type) == nil:
+		return "" // whether a waiting task fits there isn't known
 	case !needed && machine.Worker.InterruptionAt == 0 && a.idleFor(machine) > a.idleTimeout(a.state.Catalog.Type(machine.Type)):
 		return "idle"
 	}
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -133,13 +133,14 @@
 	}
 }
 
-// Free returns the capacity of a machine that is not used by its recorded or unknown tasks.
-func (s *State) Free(m *Machine) resources.Amount {
+// Free returns the capacity of a machine that is not used by its recorded or unknown tasks. known is
+// false if the catalog doesn't have the machine's type, so that its capacity is unknown.
+func (s *State) Free(m *Machine) (free resources.Amount, known bool) {
 	machineType := s.Catalog.Type(m.Type)
 	if machineType == nil {
-		return resources.Amount{}
+		return resources.Amount{}, false
 	}
-	free := Capacity(machineType).Minus(m.Allocated)
+	free = Capacity(machineType).Minus(m.Allocated)
 	for _, status := range m.Worker.UnknownTasks {
 		// A task that is no longer in the records still uses its resources. Their amount is known
 		// only while its job is in memory.
@@ -147,7 +148,7 @@
 			free = free.Minus(j.Request)
 		}
 	}
-	return free
+	return free, true
 }
 
 // FetchTimeS returns how many seconds it would take until a job's image is available on a machine.
--- /dev/null
+++ b/internal/controller/unknown_capacity_test.go
@@ -0,0 +1,58 @@
+package controller_test
+
+import (
+	"testing"
+	"time"
+
+	"oakpick/internal/fake"
+	"oakpick/internal/protocol"
+)
+
+// newLeaderWithoutTypes makes a world in which a leader has begun its term while the cloud refuses every
+// request, so that it doesn't know the machine types. Tasks run on two machines, and the given jobs wait.
+func newLeaderWithoutTypes(t *testing.T, waiting ...protocol.Submission) *fake.World {
+	t.Helper()
+	w := newWorld(t)
+	w.Cloud.CapacityOf = map[string]int{"small": 1, "large": 0}
+	running := service(1, 8)
+	running.Priority, running.Team = protocol.Low, "red"
+	w.Submit(running, 0)
+	waitRunning(t, w, running.ID, 8)
+	blocker := w.Submit(job(2, protocol.Array, 1), 2*time.Second)
+	for _, s := range waiting {
+		waitAccepted(t, w, submitAfter(t, w, s, time.Second, blocker), 10*time.Second)
+	}
+	w.Cloud.RefuseRequests = true
+	restartLeader(w, 3*time.Second)
+	waitLeader(t, w, 10*time.Second)
+	return w
+}
+
+// A task that takes nothing waits at a leader without machine types. Guards against leaders that end one
+// after the other because the task fits the unknown capacity of a machine.
+func TestEmptyRequestAtLeaderWithoutTypes(t *testing.T) {
+	nothing := job(3, protocol.Array, 2)
+	nothing.CPUs, nothing.MemoryGB, nothing.ImageGB = 0, 0, 0
+	w := newLeaderWithoutTypes(t, nothing)
+	w.Run(20 * time.Second)
+	w.Cloud.RefuseRequests = false
+	runAndPoll(w, 60*time.Second)
+	requireNoViolations(t, w)
+	requireAllServed(t, w)
+}
+
+// An urgent task waits at a leader without machine types. Guards against the preemption of one task after
+// the other on machines whose capacity is unknown and taken for none.
+func TestNothingPreemptedOnUnknownCapacity(t *testing.T) {
+	urgent := job(3, protocol.Array, 1)
+	urgent.Priority = protocol.High
+	w := newLeaderWithoutTypes(t, urgent)
+	before := w.RunningTasks("wk-000001")
+	w.Run(30 * time.Second)
+	if n := w.Leader().Stats().TasksPreempted; n > 0 || w.RunningTasks("wk-000001") < before {
+		t.Errorf("%d tasks are preempted, %d of %d run", n, w.RunningTasks("wk-000001"), before)
+	}
+	w.Cloud.RefuseRequests = false
+	runAndPoll(w, 60*time.Second)
+	requireNoViolations(t, w)
+}
--- a/internal/scheduling/cycle.go
+++ b/internal/scheduling/cycle.go
@@ -49,7 +49,7 @@
 	}
 	for _, machine := range s.state.MachinesByName {
 		s.context.Stats.MachinesExamined++
-		machine.Unassigned = s.state.Free(machine)
+		machine.Unassigned, _ = s.state.Free(machine) // a machine of unknown capacity is not reachable
 		if !machine.Worker.Registered {
 			c.booting = append(c.booting, machine)
 		} else if machine.Stopping != (resources.Amount{}) {
--- a/internal/scheduling/placement.go
+++ b/internal/scheduling/placement.go
@@ -211,5 +211,8 @@
 	if total.GPUs > 0 {
 		strandsGPUs = left.CPUs < left.GPUs*total.CPUs/total.GPUs*minProcessorsPerGPUShare
 	}
+	if total.CPUs == 0 {
+		return 0, strandsGPUs
+	}
 	return left.CPUs / total.CPUs, strandsGPUs
 }
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -194,7 +194,8 @@
 	return s.reachable(machine) && !machine.Health.Suspect(s.context.Monotonic())
 }
 
-// reachable reports whether tasks could be placed on a machine if it were not suspect.
+// reachable reports whether tasks could be placed on a machine if it were not suspect. On a machine of
+// unknown capacity nothing is placed, and so nothing is preempted, moved or reserved for a task either.
 func (s *Scheduler) reachable(machine *cluster.Machine) bool {
 	worker, provisioning := &machine.Worker, &machine.Provisioning
 	switch {
@@ -204,6 +205,8 @@
 		return false
 	case s.context.Monotonic() < machine.Health.AvoidUntil:
 		return false
+	case s.state.Catalog.Type(machine.Type) == nil:
+		return false
 	}
 	silentLimit := time.Duration(maxSilentHeartbeats * float64(s.timing.Workers.HeartbeatInterval))
 	return s.context.SilenceDuration(worker.LastSeenAt) < silentLimit && machine.Commands.UnconfirmedToken < s.leadership.Token()
