Begin a term with the machine types that followers got from the leader

Seen by callers: a leader that begins while the cloud's interface is down starts nothing until the cloud answers, although the leader before it knew the machine types.

Change: a follower asks for the types with its probes of the leader and begins a term with them; a node that steps down keeps them, too. The fields of the peers' messages are optional and unknown to the version in production. What waits is looked at again periodically also while the cloud doesn't answer.

--- a/internal/autoscaling/autoscaler.go
+++ b/internal/autoscaling/autoscaler.go
@@ -112,6 +112,7 @@
 	a.readTypes()
 	a.sendRequests()
 	a.readInventory()
+	a.state.NeedsScheduling = a.state.NeedsScheduling || len(a.scheduler.Unplaced()) > 0
 	if !a.mayScale() {
 		return
 	}
@@ -119,7 +120,6 @@
 		a.nextSummaryAt = now + summaryIntervalLeases*a.timing.Lease
 		a.logSummary()
 	}
-	a.state.NeedsScheduling = a.state.NeedsScheduling || len(a.scheduler.Unplaced()) > 0
 	needed := a.scaleOut()
 	a.scaleIn(needed)
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -25,6 +25,9 @@
 	loader   *recordLoader // nil unless records are being loaded
 	leader   *leader       // nil unless leading
 	deferred deferredRequests
+	// machineTypes are the types that this node knew last, as the leader or from the leader. A new leader
+	// begins with them, so that it can place tasks while the cloud doesn't answer.
+	machineTypes []protocol.MachineType
 	// limitsLowered is set once the state service has rejected a value for its size, which means
 	// that the upcoming limits are in force.
 	limitsLowered bool
@@ -74,7 +77,7 @@
 	case message.HeartbeatRequest:
 		c.handleHeartbeat(event)
 	case message.StepDownRequest:
-		c.elector.HandleStepDownRequest(event)
+		c.elector.HandleStepDownRequest(event, c.knownTypes())
 	case message.AdminRequest:
 		c.handleAdminRequest(event)
 	case message.StateResult:
@@ -122,6 +125,9 @@
 
 func (c *Controller) handlePeerResult(result message.PeerResult) {
 	confirmed := c.elector.HandlePeerResult(result)
+	if c.leader == nil && len(result.MachineTypes) > 0 {
+		c.machineTypes = result.MachineTypes
+	}
 	if confirmed && c.leader != nil && result.ReadsArchive {
 		c.leader.archive.AddReader(result.Peer)
 	}
@@ -133,8 +139,19 @@
 	c.loader.sendNextRequest()
 }
 
-// SteppedDown discards the state of the term that has ended.
-func (c *Controller) SteppedDown() { c.loader, c.leader = nil, nil }
+// SteppedDown discards the state of the term that has ended, except for the machine types.
+func (c *Controller) SteppedDown() {
+	c.machineTypes = c.knownTypes()
+	c.loader, c.leader = nil, nil
+}
+
+// knownTypes returns the machine types that this node knows.
+func (c *Controller) knownTypes() []protocol.MachineType {
+	if c.leader != nil && c.leader.autoscaler.KnowsTypes() {
+		return c.leader.state.Catalog.Types
+	}
+	return c.machineTypes
+}
 
 // TokenAdvanced queues commands to all workers so that each learns the new fencing token.
 func (c *Controller) TokenAdvanced() { c.leader.state.QueueCommandsToAll() }
--- a/internal/election/peers.go
+++ b/internal/election/peers.go
@@ -43,7 +43,7 @@
 		return
 	}
 	e.observed.nextProbeAt = now + e.timing.ProbeInterval
-	e.context.Emit(message.PeerCall{Peer: e.observed.leader, SentAt: now})
+	e.context.Emit(message.PeerCall{Peer: e.observed.leader, SentAt: now, QueriesMachineTypes: true})
 }
 
 // LeaderUnreachable reports whether the known leader has stopped answering probes. Time during
@@ -90,8 +90,9 @@
 }
 
 // HandleStepDownRequest ends any older term that this node holds and confirms to the new leader
-// that this node no longer answers workers for older terms.
-func (e *Elector) HandleStepDownRequest(request message.StepDownRequest) {
+// that this node no longer answers workers for older terms. types are the machine types to return if
+// the request asks for them.
+func (e *Elector) HandleStepDownRequest(request message.StepDownRequest, types []protocol.MachineType) {
 	isNewerTerm := request.Term > e.held.termFloor // false for a delayed request of an earlier leader
 	e.held.termFloor = max(e.held.termFloor, request.Term-1)
 	if e.held.token != 0 && e.held.token < request.Term {
@@ -102,9 +103,13 @@
 		// request. It can then keep forwarding user requests and redirecting workers.
 		e.follow(request.Leader, request.Term)
 	}
-	e.context.Emit(message.Reply{ID: request.ID, Status: 200, Body: protocol.Encode(protocol.StepDownResponse{
+	response := protocol.StepDownResponse{
 		SteppedDown: true, LastLoadedTerm: e.held.loadedTerm, UptimeMs: e.context.Monotonic().Milliseconds(), ReadsArchive: request.QueriesArchiveSupport,
-	})})
+	}
+	if request.QueriesMachineTypes {
+		response.MachineTypes = types
+	}
+	e.context.Emit(message.Reply{ID: request.ID, Status: 200, Body: protocol.Encode(response)})
 }
 
 // HandlePeerResult processes a peer's answer. It reports whether the peer confirmed the end of
--- a/internal/fake/peers.go
+++ b/internal/fake/peers.go
@@ -100,7 +100,10 @@
 		})
 	}
 	w.After(delivery.RequestDelay, func() {
-		request := message.StepDownRequest{Term: e.Term, Leader: c.Name, QueriesArchiveSupport: e.QueriesArchiveSupport && !peer.asProduction}
+		request := message.StepDownRequest{
+			Term: e.Term, Leader: c.Name, QueriesArchiveSupport: e.QueriesArchiveSupport && !peer.asProduction,
+			QueriesMachineTypes: e.QueriesMachineTypes && !peer.asProduction,
+		}
 		peer.Request(request, reply)
 	})
 }
--- a/internal/message/messages.go
+++ b/internal/message/messages.go
@@ -57,6 +57,8 @@
 		Leader string
 		// QueriesArchiveSupport asks whether this node can read the archive of ended jobs.
 		QueriesArchiveSupport bool
+		// QueriesMachineTypes asks for the machine types that this node knows as the leader.
+		QueriesMachineTypes bool
 	}
 	// CloudResult is the result of a CloudCall.
 	CloudResult struct {
@@ -161,6 +163,8 @@
 		SentAt time.Duration // by the monotonic clock
 		// QueriesArchiveSupport asks whether the peer can read the archive of ended jobs.
 		QueriesArchiveSupport bool
+		// QueriesMachineTypes asks for the machine types that the peer knows as the leader.
+		QueriesMachineTypes bool
 	}
 	// Log writes a log line.
 	Log struct {
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -7,6 +7,8 @@
 	Leader string `msgpack:"leader"`
 	// QueriesArchiveSupport asks whether the peer can look up ended jobs in the archive.
 	QueriesArchiveSupport bool `msgpack:"reads_archive,omitempty"`
+	// QueriesMachineTypes asks a leader for the machine types that it knows.
+	QueriesMachineTypes bool `msgpack:"asks_kinds,omitempty"`
 }
 
 // StepDownResponse reports whether the peer has stepped down from all terms before the request's.
@@ -17,4 +19,7 @@
 	// ReadsArchive reports whether the peer can look up ended jobs in the archive. It is set only if
 	// the request has QueriesArchiveSupport, and never by earlier versions.
 	ReadsArchive bool `msgpack:"reads_archive,omitempty"`
+	// MachineTypes are the types that the peer knows as the leader. They are set only if the request
+	// has QueriesMachineTypes, and never by earlier versions.
+	MachineTypes []MachineType `msgpack:"kinds_of_host,omitempty"`
 }
--- a/internal/transport/peer_client.go
+++ b/internal/transport/peer_client.go
@@ -61,7 +61,9 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	result := message.PeerResult{PeerCall: call}
-	body := protocol.Encode(protocol.StepDownRequest{Term: call.Term, Leader: c.node, QueriesArchiveSupport: call.QueriesArchiveSupport})
+	body := protocol.Encode(protocol.StepDownRequest{
+		Term: call.Term, Leader: c.node, QueriesArchiveSupport: call.QueriesArchiveSupport, QueriesMachineTypes: call.QueriesMachineTypes,
+	})
 	response, err := c.call(ctx, call.Peer, http.MethodPost, protocol.PathStepDown, body)
 	if err != nil || response.status != http.StatusOK {
 		return result
--- a/internal/transport/peer_server.go
+++ b/internal/transport/peer_server.go
@@ -61,7 +61,7 @@
 		http.Error(w, "body", http.StatusBadRequest)
 		return
 	}
-	request := message.StepDownRequest{Term: decoded.Term, Leader: decoded.Leader, QueriesArchiveSupport: decoded.QueriesArchiveSupport}
+	request := message.StepDownRequest{Term: decoded.Term, Leader: decoded.Leader, QueriesArchiveSupport: decoded.QueriesArchiveSupport, QueriesMachineTypes: decoded.QueriesMachineTypes}
 	WriteReply(w, protocol.ContentType, s.handler.Handle(request, RawRequest{}, stepDownTimeout))
 }
 
