Bound the preemptions for a job for which preemption makes no room

Change: after two cycles that preempted tasks for a job without a task of it being placed, one cycle a lease; counted as futile_preemptions and logged. A time and not a stop, so that the job has a way out.

--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -77,6 +77,8 @@
 type PlacementState struct {
 	NotBefore           time.Duration // no task is placed earlier, for reasons other than failures
 	IdleSince           time.Duration // when a task last started to wait
+	PreemptionRounds    int           // cycles that preempted tasks for the job since a task of it was last placed
+	PreemptNotBefore    time.Duration // no task is preempted for the job before this time
 	UnplacedSince       time.Duration // since when there have been tasks without a machine; 0 if there are none
 	HoldUntil           time.Duration // until when the job may wait for a booting machine; 0 if it has not waited
 	Nominated           *Machine      // target machine of a replica that is being moved
--- a/internal/message/stats.go
+++ b/internal/message/stats.go
@@ -2,15 +2,17 @@
 
 // Stats are counts since the start of the process. The JSON names are part of the administration API.
 type Stats struct {
-	JobsSubmitted       int64 `json:"submitted"`
-	JobsPolled          int64 `json:"polled"`
-	JobsCancelled       int64 `json:"cancelled"`
-	Heartbeats          int64 `json:"reports"`
-	StaleHeartbeats     int64 `json:"stale_reports"`
-	TasksStarted        int64 `json:"starts"`
-	TasksLost           int64 `json:"tasks_lost"`
-	TasksDone           int64 `json:"tasks_finished"`
-	TasksPreempted      int64 `json:"tasks_preempted"`
+	JobsSubmitted   int64 `json:"submitted"`
+	JobsPolled      int64 `json:"polled"`
+	JobsCancelled   int64 `json:"cancelled"`
+	Heartbeats      int64 `json:"reports"`
+	StaleHeartbeats int64 `json:"stale_reports"`
+	TasksStarted    int64 `json:"starts"`
+	TasksLost       int64 `json:"tasks_lost"`
+	TasksDone       int64 `json:"tasks_finished"`
+	TasksPreempted  int64 `json:"tasks_preempted"`
+	// FutilePreemptions counts the cycles that preempted tasks for a job after earlier ones had made no room for it.
+	FutilePreemptions   int64 `json:"futile_preemptions"`
 	ReplicasMoved       int64 `json:"replicas_moved"`
 	TasksFailed         int64 `json:"tasks_failed"`
 	TokensAdvanced      int64 `json:"tokens_raised"`
--- a/internal/scheduling/gang.go
+++ b/internal/scheduling/gang.go
@@ -100,6 +100,7 @@
 	})
 	s.recordAttempt(j)
 	j.Placement.UnplacedSince = 0
+	recordPlaced(j)
 	for _, machine := range machines {
 		index := j.NextIdle(s.store.MaxItemSize())
 		members = append(members, s.jobs.Start(j, index, machine, waiter))
--- a/internal/scheduling/preemption.go
+++ b/internal/scheduling/preemption.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"oakpick/internal/cluster"
+	"oakpick/internal/message"
 	"oakpick/internal/protocol"
 	"oakpick/internal/resources"
 )
@@ -71,6 +72,7 @@
 		before.save(machine)
 		assign(machine, j, perZone)
 	}
+	s.countPreemption(j, len(p.victims))
 	for _, victim := range p.victims {
 		s.context.Stats.TasksPreempted++
 		s.jobs.Preempt(victim, "preempted for "+j.ID)
@@ -80,12 +82,37 @@
 	}
 }
 
+// maxPreemptionRounds is the number of cycles that may preempt tasks for a job without any task of it
+// being placed. After that, whatever is believed about the machines, preemption makes no room for it.
+const maxPreemptionRounds = 2
+
+// countPreemption counts a cycle that preempted tasks for a job. If such cycles make no room, the next
+// one has to wait.
+func (s *Scheduler) countPreemption(j *cluster.Job, victims int) {
+	if victims == 0 {
+		return
+	}
+	placement := &j.Placement
+	placement.PreemptionRounds++
+	if placement.PreemptionRounds < maxPreemptionRounds {
+		return
+	}
+	placement.PreemptNotBefore = s.context.Monotonic() + s.timing.Workers.Lease
+	if placement.PreemptionRounds > maxPreemptionRounds {
+		s.context.Stats.FutilePreemptions++
+		s.context.Log(message.Info, "preemption makes no room", "job", j.ID, "class", j.Class, "rounds", placement.PreemptionRounds, "preempted", victims)
+	}
+}
+
 // findPreemptionTarget returns a machine on which one more task will fit, possibly after
 // preempting further tasks.
 func (s *Scheduler) findPreemptionTarget(p *preemptionSearch, perZone map[string]int, first bool) *cluster.Machine {
 	if machine := s.findProjectedFit(p, perZone); machine != nil {
 		return machine
 	}
+	if s.context.Monotonic() < p.job.Placement.PreemptNotBefore {
+		return nil
+	}
 	machine, victims := s.chooseVictims(p, perZone, first)
 	if machine != nil {
 		p.addVictims(machine, victims)
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -166,6 +166,7 @@
 			"image", j.Image, "fetch_s", s.state.FetchTimeS(j, machine))
 		s.jobs.Start(j, index, machine, nil)
 		s.recordAttempt(j)
+		recordPlaced(j)
 		assign(machine, j, perZone)
 		placed++
 	}
@@ -178,6 +179,9 @@
 	perZone[machine.Zone]++
 }
 
+// recordPlaced records that a task of a job was placed, or all tasks of a gang.
+func recordPlaced(j *cluster.Job) { j.Placement.PreemptionRounds, j.Placement.PreemptNotBefore = 0, 0 }
+
 func (s *Scheduler) recordUnplaced(j *cluster.Job, tasks int) {
 	if j.Placement.UnplacedSince == 0 {
 		j.Placement.UnplacedSince = s.context.Monotonic()
