Don't reject a job by inherited machine types, and don't clear a machine by an inherited task

Found on reading the change again. A leader that began with the types of the leader before could answer 422, which users don't repeat, for a job that fits only a type that the cloud offers since; it now answers as while it knows no types. A task of an earlier term was taken as proof that its machine is sound when the new leader first saw it running after a failure.

Test: TestJobIsNotRejectedByInheritedTypes.

--- a/internal/cluster/catalog.go
+++ b/internal/cluster/catalog.go
@@ -10,6 +10,9 @@
 	Types []protocol.MachineType
 	// Version counts the updates of Types. Prices may differ between versions.
 	Version int
+	// Inherited is whether the types come from an earlier leader and not from the cloud. The cloud may
+	// offer others by now.
+	Inherited bool
 }
 
 // Offering is a kind of machine that can be provisioned: its type, its zone, and whether it is a spot instance.
@@ -22,12 +25,18 @@
 // resources.
 const maxTasksPerMachine = 1 << 20
 
-// Update replaces the list of machine types.
+// Update replaces the list of machine types by that of the cloud.
 func (c *Catalog) Update(types []protocol.MachineType) {
-	c.Types = types
+	c.Types, c.Inherited = types, false
 	c.Version++
 }
 
+// Inherit replaces the list of machine types by that of an earlier leader.
+func (c *Catalog) Inherit(types []protocol.MachineType) {
+	c.Update(types)
+	c.Inherited = true
+}
+
 // Type returns a machine type, or nil if the catalog does not have it.
 func (c *Catalog) Type(name string) *protocol.MachineType {
 	for i := range c.Types {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -37,7 +37,7 @@
 		return nil, err
 	}
 	l := emptyLeader(c)
-	l.state.Catalog.Update(c.machineTypes)
+	l.state.Catalog.Inherit(c.machineTypes)
 	(&stateRestorer{leader: l}).restore(pages)
 	return l, nil
 }
--- a/internal/controller/submission.go
+++ b/internal/controller/submission.go
@@ -13,6 +13,9 @@
 	"oakpick/internal/storage"
 )
 
+// reasonFitsNoType is the reason for refusing a job of which a task fits no machine type.
+const reasonFitsNoType = "a task fits no allowed machine type"
+
 // submit accepts a job, or answers with the status of an earlier job with the same ID.
 func (h *requestHandler) submit(request message.UserRequest, archived archive.LookupResults) {
 	if end := h.findEndedJob(request.Submission.ID, archived); end != nil {
@@ -31,7 +34,12 @@
 		h.deferUntilTypesKnown(request)
 		return
 	}
-	if reason := h.rejectionReason(request.Submission); reason != "" {
+	reason := h.rejectionReason(request.Submission)
+	if reason == reasonFitsNoType && h.state.Catalog.Inherited {
+		h.deferUntilTypesKnown(request)
+		return
+	}
+	if reason != "" {
 		h.replyError(request.ID, http.StatusUnprocessableEntity, reason)
 		return
 	}
@@ -111,7 +119,7 @@
 	}
 	request := resources.Amount{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB}
 	if !h.fitsAnyType(s, request) {
-		return "a task fits no allowed machine type"
+		return reasonFitsNoType
 	}
 	atOnce := request // resources that must be available at the same time
 	if s.Kind != protocol.Array {
--- a/internal/controller/unknown_capacity_test.go
+++ b/internal/controller/unknown_capacity_test.go
@@ -102,3 +102,25 @@
 		b.ReportMetric(startAfterFailover(b).Seconds(), "s-to-start")
 	}
 }
+
+// The cloud offers a new machine type while a leader has the types of the leader before. Guards against a
+// permanent rejection of a job that only fits the new type.
+func TestJobIsNotRejectedByInheritedTypes(t *testing.T) {
+	w := newWorld(t)
+	w.Run(10 * time.Second)
+	w.Cloud.RefuseRequests = true
+	crashLeader(w, time.Second)
+	waitLeader(t, w, 10*time.Second)
+	huge := job(1, protocol.Array, 1)
+	huge.CPUs = 16
+	j := w.Submit(huge, time.Second)
+	w.Run(10 * time.Second)
+	if j.RejectedWith != 0 || j.Accepted {
+		t.Errorf("accepted %t, rejected with %d while the cloud doesn't answer", j.Accepted, j.RejectedWith)
+	}
+	w.Cloud.RefuseRequests = false
+	w.RunUntil(20*time.Second, func() bool { return j.RejectedWith != 0 })
+	if j.RejectedWith != 422 {
+		t.Errorf("rejected with %d once the cloud has answered", j.RejectedWith)
+	}
+}
--- a/internal/jobs/failures.go
+++ b/internal/jobs/failures.go
@@ -213,7 +213,8 @@
 // that was already running when the last one failed proves nothing: machines may fail only new tasks.
 func (m *Manager) clearMachineFailures(t *cluster.Task) {
 	health := &t.Machine.Health
-	if health.Failures == 0 || max(t.PlacedAt, t.RunningSince) <= health.LastFailureAt {
+	startedBefore := t.Inherited || max(t.PlacedAt, t.RunningSince) <= health.LastFailureAt
+	if health.Failures == 0 || startedBefore {
 		return
 	}
 	if health.Cordoned {
